Serve the users' platform by a gateway role: routes, direct sending, streams

Cause: the entry speaks the product's own protocol only, so nothing was served on the users' platform. Ruled out: sending through agents there; a side instance has 0.15 of a core and the engine says itself whether it ran a request. Change: package gateway (decisions: request course, placement, retry allowance, server list, event sequence; I/O: callers, servers, pool), users' formats in platform/, deploy/.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -1,5 +1,8 @@
 #include "laburnum/agent/agent.hpp"
 #include "laburnum/entry/entry.hpp"
+#include "laburnum/gateway/gateway.hpp"
+#include "laburnum/platform/users_directory.hpp"
+#include "laburnum/platform/users_protocol.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -55,10 +58,49 @@
   });
 }
 
+void
+handleGatewaySignals(asio::signal_set& aSignals, gateway::Gateway& aGateway)
+{
+  aSignals.async_wait(
+    [&aSignals, &aGateway](boost::system::error_code aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal != SIGHUP) {
+        aGateway.stopGracefully();
+      }
+      handleGatewaySignals(aSignals, aGateway);
+    });
+}
+
+int
+runGateway(const contract::Settings& aSettings)
+{
+  startLog(aSettings.instance, aSettings.logLevel);
+  Loop loop;
+  gateway::Gateway gateway(loop, aSettings, platform::users::kHeaders);
+  platform::users::Directory directory(loop, aSettings, gateway);
+  asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
+  try {
+    gateway.start();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "cannot start: %s\n", error.what());
+    return kExitStart;
+  }
+  directory.start();
+  handleGatewaySignals(signals, gateway);
+  loop.run();
+  std::fflush(nullptr);
+  std::_Exit(kExitOk);
+}
+
 int
 runDaemon(contract::Settings aSettings)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  if (aSettings.role == contract::Role::Gateway) {
+    return runGateway(aSettings);
+  }
   startLog(aSettings.instance, aSettings.logLevel);
   Loop loop;
   const contract::Role role = aSettings.role;
--- a/contract/include/laburnum/contract/settings.hpp
+++ b/contract/include/laburnum/contract/settings.hpp
@@ -13,12 +13,17 @@
 
 enum class Role : std::uint8_t
 {
-  Entry,
-  Agent
+  Entry,   ///< Meets callers, sends through agents.
+  Agent,   ///< Stands beside a backend server and runs its requests.
+  Gateway, ///< Meets callers by routes, sends straight to backend servers.
+  Steward  ///< Stands beside a rank of a group and keeps its expert map.
 };
 
-inline constexpr EnumNames<Role, 2> kRoleNames{ { { Role::Entry, "entry" },
-                                                  { Role::Agent, "agent" } } };
+inline constexpr EnumNames<Role, 4> kRoleNames{ { { Role::Entry, "entry" },
+                                                  { Role::Agent, "agent" },
+                                                  { Role::Gateway, "gateway" },
+                                                  { Role::Steward,
+                                                    "steward" } } };
 
 enum class ServerKind : std::uint8_t
 {
@@ -78,6 +83,15 @@
   std::vector<std::string> qualifiedOffers() const;
 };
 
+/// Bounds of a gateway that its deployment sets.
+struct GatewaySettings
+{
+  double retryRatio = 0.2; ///< Repeats, as a share of requests.
+  double retrySlack = 0;   ///< Repeats beyond it, of all entries together.
+  Duration retryWindow = seconds(10);
+  Duration stopGrace = seconds(8); ///< From the signal to the forced end.
+};
+
 /// One daemon's settings file.
 struct Settings
 {
@@ -95,6 +109,7 @@
   Limits limits;
   LogLevel logLevel = LogLevel::Info;
   ServerSettings server;
+  GatewaySettings gateway;
 };
 
 /// Parses a settings file's text; the failure lists every fault.
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -121,6 +121,19 @@
   return server;
 }
 
+GatewaySettings
+readGateway(FieldReader aReader, FieldReader& aParent)
+{
+  GatewaySettings gateway;
+  gateway.retryRatio = aReader.number("retry_ratio", gateway.retryRatio, 0, 1);
+  gateway.retrySlack =
+    aReader.number("retry_slack", gateway.retrySlack, 0, 1e6);
+  gateway.retryWindow = seconds(aReader.integer("retry_window_s", 10, 1, 3600));
+  gateway.stopGrace = seconds(aReader.integer("stop_grace_s", 8, 1, 3600));
+  aParent.finish(aReader);
+  return gateway;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -200,6 +213,12 @@
     reader.object("server");
     reader.fault("server", "belongs to the role agent only");
   }
+  if (settings.role == Role::Gateway) {
+    settings.gateway = readGateway(reader.object("gateway"), reader);
+  } else if (reader.has("gateway")) {
+    reader.object("gateway");
+    reader.fault("gateway", "belongs to the role gateway only");
+  }
   if (settings.platform.empty() && settings.peers.empty()) {
     reader.fault("platform",
                  "missing, expected at least one address here or in peers");
--- /dev/null
+++ b/gateway/include/laburnum/gateway/protocol.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string_view>
+
+namespace laburnum::gateway {
+
+/// The names of the headers between callers, the gateway and backend servers.
+/// The values here are the product's own; another deployment brings its own.
+struct HeaderNames
+{
+  std::string_view attemptId = "Laburnum-Attempt";
+  std::string_view deadlineMs = "Laburnum-Deadline-Ms";
+  std::string_view signature = "Laburnum-Signature";
+  std::string_view notExecuted = "Laburnum-Not-Executed";
+  std::string_view expectInstance = "Laburnum-Expect-Instance";
+  std::string_view account = "Laburnum-Account";
+  std::string_view lastEventId = "Last-Event-Id";
+  std::string_view promptTokens = "Laburnum-Prompt-Tokens";
+  std::string_view lengthHint = "Laburnum-Length-Hint";
+  std::string_view priority = "Laburnum-Priority";
+  std::string_view failedServer = "Laburnum-Failed-Server";
+};
+
+} // namespace laburnum::gateway
--- /dev/null
+++ b/gateway/src/server_connection.cpp
@@ -0,0 +1,270 @@
+#include "laburnum/gateway/server_connection.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace laburnum::gateway {
+namespace {
+
+namespace bhttp = http::beast::http;
+using asio::ip::tcp;
+
+/// One read; larger bodies take several.
+constexpr std::size_t kReadBytes = 8 * 1024;
+/// Bound of an answer's body; larger ones are not taken for answers.
+constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
+/// Two lost probes a second apart; half of the two seconds after which the
+/// callers of a silent stream give up (PROTOCOL.md, Requests).
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+constexpr int kUserTimeoutMs = 2000;
+
+std::optional<Duration>
+keepAliveOf(const Head& aHead)
+{
+  const auto found = aHead.find(bhttp::field::keep_alive);
+  if (found == aHead.end()) {
+    return std::nullopt;
+  }
+  const std::string_view value = found->value();
+  const std::size_t at = value.find("timeout=");
+  int timeout = 0;
+  if (at == std::string_view::npos ||
+      std::from_chars(
+        value.data() + at + 8, value.data() + value.size(), timeout)
+          .ec != std::errc()) {
+    return std::nullopt;
+  }
+  return seconds(timeout);
+}
+
+} // namespace
+
+void
+boundSilence(asio::basic_stream_socket<tcp, http::Executor>& aSocket)
+{
+  boost::system::error_code ignored; // An option less only detects later.
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const int handle = aSocket.native_handle();
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(int));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(int));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(int));
+  ::setsockopt(
+    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(int));
+}
+
+ServerConnection::ServerConnection(Loop& aLoop, contract::Address aAddress)
+  : mLoop(aLoop)
+  , mAddress(std::move(aAddress))
+  , mSocket(aLoop.context())
+  , mTimer(aLoop.context())
+{
+}
+
+void
+ServerConnection::send(http::Request aRequest,
+                       Duration aConnectTimeout,
+                       Listener aListener)
+{
+  mRequest = std::make_shared<http::Request>(std::move(aRequest));
+  mListener = std::move(aListener);
+  mReusable = false;
+  mSent = false;
+  mWriteDone = false;
+  mIdleClosed = nullptr;
+  ++mGeneration;
+  if (mOpen) {
+    startExchange();
+    return;
+  }
+  const auto self = shared_from_this();
+  mTimer.expires_after(aConnectTimeout);
+  mTimer.async_wait([self](ErrorCode aError) {
+    if (!aError && !self->mOpen) {
+      self->lose(asio::error::timed_out);
+    }
+  });
+  ErrorCode error;
+  const tcp::endpoint endpoint(asio::ip::make_address(mAddress.host, error),
+                               mAddress.port);
+  mSocket.async_connect(endpoint,
+                        [self](ErrorCode aError) { self->connected(aError); });
+}
+
+void
+ServerConnection::connected(ErrorCode aError)
+{
+  if (mAborted || !mListener) {
+    return;
+  }
+  mTimer.cancel();
+  if (aError) {
+    lose(aError);
+    return;
+  }
+  mOpen = true;
+  boundSilence(mSocket);
+  startExchange();
+}
+
+void
+ServerConnection::startExchange()
+{
+  const auto self = shared_from_this();
+  const std::uint64_t generation = mGeneration;
+  mParser.emplace();
+  mParser->body_limit(kMaxBodyBytes);
+  if (mRequest->method() == bhttp::verb::head) {
+    mParser->skip(true);
+  }
+  mSent = true;
+  bhttp::async_write(
+    mSocket,
+    *mRequest,
+    [self, generation, request = mRequest](ErrorCode aError, std::size_t) {
+      // A failed write is told by the read, which may still find an answer.
+      if (generation == self->mGeneration && !aError) {
+        self->mWriteDone = true;
+      }
+    });
+  readHead();
+}
+
+void
+ServerConnection::readHead()
+{
+  bhttp::async_read_header(
+    mSocket,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (self->mAborted) {
+        return;
+      }
+      if (aError) {
+        self->lose(aError);
+        return;
+      }
+      if (self->mParser->get().result_int() / 100 == 1) {
+        // An interim answer: the final one follows on it.
+        self->mParser.emplace();
+        self->readHead();
+        return;
+      }
+      self->mKeepAlive = keepAliveOf(self->mParser->get().base());
+      self->tell(AnswerHead{ self->mParser->get().base() });
+      if (!self->mAborted) {
+        self->readBody();
+      }
+    });
+}
+
+void
+ServerConnection::readBody()
+{
+  if (mParser->is_done()) {
+    finish();
+    return;
+  }
+  mBytes.resize(kReadBytes);
+  mParser->get().body().data = mBytes.data();
+  mParser->get().body().size = mBytes.size();
+  bhttp::async_read_some(
+    mSocket,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (self->mAborted) {
+        return;
+      }
+      if (aError == bhttp::error::need_buffer) {
+        aError = {};
+      }
+      const std::size_t got =
+        self->mBytes.size() - self->mParser->get().body().size;
+      if (got > 0) {
+        self->tell(AnswerBytes{ { self->mBytes.data(), got } });
+      }
+      if (self->mAborted) {
+        return;
+      }
+      if (aError) {
+        self->lose(aError);
+        return;
+      }
+      self->readBody();
+    });
+}
+
+void
+ServerConnection::finish()
+{
+  // Bytes after the answer belong to no request; an unfinished request would
+  // leave the server reading its rest.
+  mReusable = mWriteDone && mBuffer.size() == 0 &&
+              mParser->get().keep_alive() && !mParser->need_eof();
+  mIdleSince = mLoop.now();
+  mBytes = {};
+  const Listener listener = std::move(mListener);
+  mListener = nullptr;
+  mRequest.reset();
+  listener(AnswerEnd{});
+}
+
+void
+ServerConnection::lose(ErrorCode aError)
+{
+  if (!mListener) {
+    return;
+  }
+  const Listener listener = std::move(mListener);
+  const ConnectionLost event{ .isSent = mSent,
+                              .isRefused = !mOpen,
+                              .reason = aError.message() };
+  abort();
+  listener(event);
+}
+
+void
+ServerConnection::tell(ServerEvent aEvent)
+{
+  const Listener listener = mListener;
+  if (listener) {
+    listener(aEvent);
+  }
+}
+
+void
+ServerConnection::abort()
+{
+  mAborted = true;
+  mReusable = false;
+  mListener = nullptr;
+  mIdleClosed = nullptr;
+  mTimer.cancel();
+  ErrorCode ignored; // The connection is given up either way.
+  mSocket.close(ignored);
+}
+
+void
+ServerConnection::watchIdle(std::function<void()> aClosed)
+{
+  mIdleClosed = std::move(aClosed);
+  mSocket.async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this(), generation = mGeneration](ErrorCode) {
+      if (self->mAborted || generation != self->mGeneration ||
+          !self->mIdleClosed) {
+        return;
+      }
+      const auto closed = std::move(self->mIdleClosed);
+      self->abort();
+      closed();
+    });
+}
+
+} // namespace laburnum::gateway
