Keep a group's expert map from daemons beside its ranks

Ruled out: reading counts from entries (priced, and it pauses the group); a lease for the planner (unanimity of the ranks that report does the same without a call). Tried on an engine before: a newer prepare makes the older version impossible to arm (409), an armed rank refuses a prepare (409), a second hold is refused (409), a release of another step does nothing. Change: HeldSwitch and planCopies in experts, package steward, calls of the engine in platform/.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -2,8 +2,11 @@
 #include "laburnum/entry/entry.hpp"
 #include "laburnum/gateway/gateway.hpp"
 #include "laburnum/platform/users_directory.hpp"
+#include "laburnum/platform/users_engine.hpp"
 #include "laburnum/platform/users_protocol.hpp"
 
+#include "laburnum/steward/steward.hpp"
+
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
@@ -94,6 +97,32 @@
   std::_Exit(kExitOk);
 }
 
+int
+runSteward(const contract::Settings& aSettings)
+{
+  startLog(aSettings.instance, aSettings.logLevel);
+  Loop loop;
+  platform::users::EngineClient engine(loop, aSettings.server.address);
+  steward::Steward steward(loop, aSettings, engine);
+  platform::users::EngineDirectory directory(loop, aSettings, steward);
+  asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
+  try {
+    steward.start();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "cannot start: %s\n", error.what());
+    return kExitStart;
+  }
+  directory.start();
+  signals.async_wait([&steward](boost::system::error_code aError, int) {
+    if (!aError) {
+      steward.stop();
+    }
+  });
+  loop.run();
+  std::fflush(nullptr);
+  std::_Exit(kExitOk);
+}
+
 int
 runDaemon(contract::Settings aSettings)
 {
@@ -101,6 +130,9 @@
   if (aSettings.role == contract::Role::Gateway) {
     return runGateway(aSettings);
   }
+  if (aSettings.role == contract::Role::Steward) {
+    return runSteward(aSettings);
+  }
   startLog(aSettings.instance, aSettings.logLevel);
   Loop loop;
   const contract::Role role = aSettings.role;
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -102,7 +102,7 @@
 }
 
 ServerSettings
-readServer(FieldReader aReader, FieldReader& aParent)
+readServer(FieldReader aReader, FieldReader& aParent, bool aNeedsOffers)
 {
   ServerSettings server;
   server.kind = readEnum(aReader, "kind", kServerKindNames, ServerKind::Plain);
@@ -113,7 +113,7 @@
     aReader.fault("address",
                   "missing, expected the backend server's address and port");
   }
-  if (server.offers.empty()) {
+  if (server.offers.empty() && aNeedsOffers) {
     aReader.fault("offers",
                   "missing or empty, expected at least one model or service");
   }
@@ -207,11 +207,12 @@
   settings.limits = readLimits(reader.object("limits"), reader);
   settings.logLevel =
     readEnum(reader, "log_level", kLogLevelNames, LogLevel::Info);
-  if (settings.role == Role::Agent) {
-    settings.server = readServer(reader.object("server"), reader);
+  if (settings.role == Role::Agent || settings.role == Role::Steward) {
+    settings.server =
+      readServer(reader.object("server"), reader, settings.role == Role::Agent);
   } else if (reader.has("server")) {
     reader.object("server");
-    reader.fault("server", "belongs to the role agent only");
+    reader.fault("server", "belongs to the roles agent and steward only");
   }
   if (settings.role == Role::Gateway) {
     settings.gateway = readGateway(reader.object("gateway"), reader);
--- /dev/null
+++ b/experts/src/copy_planner.cpp
@@ -0,0 +1,241 @@
+#include "laburnum/experts/copy_planner.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+namespace laburnum::experts {
+namespace {
+
+/// One change of a rank's places: an expert is added, another may go; with a
+/// swap the relieved rank takes the latter.
+struct Change
+{
+  std::size_t rank = 0;
+  std::uint16_t added = 0;
+  std::optional<std::uint16_t> dropped;
+  bool isSwap = false;
+};
+
+/// The map under change, with loads that follow each step.
+class Board
+{
+public:
+  Board(const ExpertMap& aPresent,
+        const std::vector<double>& aLoads,
+        const CopyPlanOptions& aOptions)
+    : mOptions(aOptions)
+    , mLoads(aLoads)
+    , mMap(aPresent)
+    , mOriginal(aPresent)
+    , mHolders(aLoads.size())
+    , mRankLoads(aPresent.slots.size(), 0)
+    , mNew(aPresent.slots.size(), 0)
+  {
+    for (std::size_t rank = 0; rank < mMap.slots.size(); ++rank) {
+      for (const std::uint16_t expert : mMap.slots[rank]) {
+        mHolders[expert].push_back(rank);
+      }
+    }
+    for (std::size_t expert = 0; expert < aLoads.size(); ++expert) {
+      spread(static_cast<std::uint16_t>(expert), 1);
+    }
+    mMean = std::accumulate(mRankLoads.begin(), mRankLoads.end(), 0.0) /
+            std::max<double>(1, static_cast<double>(mRankLoads.size()));
+  }
+
+  double skew() const { return mMean <= 0 ? 1 : mRankLoads[hottest()] / mMean; }
+
+  std::size_t hottest() const
+  {
+    return static_cast<std::size_t>(
+      std::max_element(mRankLoads.begin(), mRankLoads.end()) -
+      mRankLoads.begin());
+  }
+
+  /// The best step that relieves the hottest rank; nothing if none does.
+  std::optional<Change> best()
+  {
+    const std::size_t hot = hottest();
+    std::optional<Change> best;
+    double bestGain = 0;
+    const double before = potential();
+    const auto offer = [&](const Change& aChange) {
+      apply(aChange, hot);
+      const double copies = aChange.isSwap ? 2 : 1;
+      const double gain = (before - potential()) / copies;
+      revert(aChange, hot);
+      if (gain > bestGain) {
+        bestGain = gain;
+        best = aChange;
+      }
+    };
+    const auto experts = mMap.slots[hot];
+    for (const std::uint16_t expert : experts) {
+      for (std::size_t rank = 0; rank < mMap.slots.size(); ++rank) {
+        if (rank == hot || holds(rank, expert) || !mayTake(rank, expert)) {
+          continue;
+        }
+        if (mMap.slots[rank].size() < mOptions.placements) {
+          offer({ .rank = rank, .added = expert });
+        }
+        const auto places = mMap.slots[rank];
+        for (const std::uint16_t other : places) {
+          if (mHolders[other].size() > 1) {
+            offer({ .rank = rank, .added = expert, .dropped = other });
+          }
+          if (mLoads[other] < mLoads[expert] && !holds(hot, other) &&
+              mayTake(hot, other)) {
+            offer({ .rank = rank,
+                    .added = expert,
+                    .dropped = other,
+                    .isSwap = true });
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  void take(const Change& aChange)
+  {
+    const std::size_t hot = hottest();
+    apply(aChange, hot);
+    count(aChange.rank, aChange.added);
+    if (aChange.isSwap) {
+      count(hot, *aChange.dropped);
+    }
+  }
+
+  std::size_t moves() const { return mMoves; }
+  const ExpertMap& map() const { return mMap; }
+
+private:
+  bool holds(std::size_t aRank, std::uint16_t aExpert) const
+  {
+    const auto& slots = mMap.slots[aRank];
+    return std::find(slots.begin(), slots.end(), aExpert) != slots.end();
+  }
+
+  bool isOriginal(std::size_t aRank, std::uint16_t aExpert) const
+  {
+    const auto& slots = mOriginal.slots[aRank];
+    return std::find(slots.begin(), slots.end(), aExpert) != slots.end();
+  }
+
+  bool mayTake(std::size_t aRank, std::uint16_t aExpert) const
+  {
+    return isOriginal(aRank, aExpert) || mNew[aRank] < mOptions.newPerRank;
+  }
+
+  void count(std::size_t aRank, std::uint16_t aExpert)
+  {
+    if (!isOriginal(aRank, aExpert)) {
+      ++mNew[aRank];
+      ++mMoves;
+    }
+  }
+
+  /// Adds or takes away an expert's load at its holders.
+  void spread(std::uint16_t aExpert, double aSign)
+  {
+    const auto& holders = mHolders[aExpert];
+    for (const std::size_t rank : holders) {
+      mRankLoads[rank] +=
+        aSign * mLoads[aExpert] / static_cast<double>(holders.size());
+    }
+  }
+
+  void place(std::size_t aRank, std::uint16_t aExpert)
+  {
+    spread(aExpert, -1);
+    mHolders[aExpert].push_back(aRank);
+    mMap.slots[aRank].push_back(aExpert);
+    spread(aExpert, 1);
+  }
+
+  void remove(std::size_t aRank, std::uint16_t aExpert)
+  {
+    spread(aExpert, -1);
+    std::erase(mHolders[aExpert], aRank);
+    std::erase(mMap.slots[aRank], aExpert);
+    spread(aExpert, 1);
+  }
+
+  void apply(const Change& aChange, std::size_t aHot)
+  {
+    place(aChange.rank, aChange.added);
+    if (aChange.isSwap) {
+      place(aHot, *aChange.dropped);
+      remove(aHot, aChange.added);
+    }
+    if (aChange.dropped) {
+      remove(aChange.rank, *aChange.dropped);
+    }
+  }
+
+  void revert(const Change& aChange, std::size_t aHot)
+  {
+    if (aChange.dropped) {
+      place(aChange.rank, *aChange.dropped);
+    }
+    if (aChange.isSwap) {
+      place(aHot, aChange.added);
+      remove(aHot, *aChange.dropped);
+    }
+    remove(aChange.rank, aChange.added);
+  }
+
+  /// Falls with every step towards an even load, most with the largest ones.
+  double potential() const
+  {
+    double sum = 0;
+    for (const double load : mRankLoads) {
+      const double square = load * load;
+      sum += square * square;
+    }
+    return sum;
+  }
+
+  const CopyPlanOptions& mOptions;
+  const std::vector<double>& mLoads;
+  ExpertMap mMap;
+  const ExpertMap& mOriginal;
+  std::vector<std::vector<std::size_t>> mHolders;
+  std::vector<double> mRankLoads;
+  std::vector<std::size_t> mNew;
+  double mMean = 0;
+  std::size_t mMoves = 0;
+};
+
+} // namespace
+
+MapPlan
+planCopies(const ExpertMap& aPresent,
+           const std::vector<double>& aLoads,
+           const CopyPlanOptions& aOptions)
+{
+  Board board(aPresent, aLoads, aOptions);
+  MapPlan plan{ .map = aPresent, .skew = board.skew() };
+  while (board.moves() < aOptions.maxCopies) {
+    const auto change = board.best();
+    if (!change) {
+      break;
+    }
+    board.take(*change);
+    // Several ranks may share the largest load: look a few steps ahead, and
+    // keep the steps only if they paid.
+    const std::size_t added = board.moves() - plan.moves;
+    const double gain = plan.skew - board.skew();
+    if (gain >= aOptions.leastGain * static_cast<double>(added)) {
+      plan = { .map = board.map(),
+               .moves = board.moves(),
+               .skew = board.skew() };
+    } else if (added > aPresent.slots.size()) {
+      break;
+    }
+  }
+  return plan;
+}
+
+} // namespace laburnum::experts
--- a/gateway/include/laburnum/gateway/configuration.hpp
+++ b/gateway/include/laburnum/gateway/configuration.hpp
@@ -70,6 +70,7 @@
   int layerSets = 0;         ///< Sets of layers with experts; 0: none.
   int experts = 0;           ///< Experts in each set.
   int placements = 0;        ///< Experts that fit on a rank, in a set.
+  double expertRatio = 0;    ///< Part of a token's work that experts do.
   int standby = 0;           ///< Experts that a change may copy to a rank.
 };
 
--- /dev/null
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "laburnum/experts/copy_planner.hpp"
+#include "laburnum/experts/held_switch.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnum::steward {
+
+struct MapDutyOptions
+{
+  std::size_t placements = 1;
+  std::size_t standby = 1;
+  Duration memory = milliseconds(600); ///< Time constant of the loads.
+  Duration settle = milliseconds(300); ///< Of counts, before a plan.
+  /// A change is worth it above this part of the time of a pass: passes take
+  /// 15 in 100 longer while experts are copied.
+  double leastGain = 0.03;
+  double expertRatio = 0.85; ///< Part of a pass that experts take.
+  /// A rank whose state is older than this is not counted on.
+  Duration fresh = milliseconds(1500);
+  std::size_t maxCopies = 32; ///< Of one change, in a set of layers.
+};
+
+/// A rank's report as the duty takes it in.
+struct RankNews
+{
+  std::size_t rank = 0;
+  std::size_t size = 0;
+  bool isOpen = false;
+  experts::RankState state;
+  std::vector<std::vector<std::uint16_t>> experts; ///< In force, by set.
+  std::vector<std::uint32_t> counts; ///< Since the last news; may be empty.
+};
+
+/// Plans and carries out the maps of one group at the steward to which every
+/// other one reports. It acts only while all ranks report, so two of these
+/// never act at once: a rank reports to one steward at a time. Answers the
+/// load whose favoured experts change every few seconds. Free of I/O.
+/// Thread safety: loop thread.
+class MapDuty
+{
+public:
+  MapDuty(std::size_t aOwnRank, std::size_t aRanks, MapDutyOptions aOptions);
+
+  /// Takes in a rank's report. Pre: the rank is below the number of ranks.
+  void news(const RankNews& aNews, Instant aNow);
+
+  /// A rank's steward is no longer in touch. Pre: as above.
+  void lost(std::size_t aRank);
+
+  /// The orders to send now. aVersion is a number larger than any given
+  /// before, by anyone. Pre: times never go back.
+  std::vector<experts::RankOrder> tick(Instant aNow, std::uint64_t aVersion);
+
+  /// True while orders are under way and `tick` is due every few ms.
+  bool isBusy() const { return !mSwitch.isIdle(); }
+
+  experts::SwitchPhase phase() const { return mSwitch.phase(); }
+  double skew() const { return mSkew; }
+  std::size_t copies() const { return mCopies; }
+
+private:
+  struct Rank
+  {
+    std::optional<RankNews> news;
+    Instant at{};
+  };
+  void addCounts(const RankNews& aNews, Instant aNow);
+  bool plan(Instant aNow, std::uint64_t aVersion);
+  experts::GroupMap inForce() const;
+
+  std::size_t mOwn;
+  MapDutyOptions mOptions;
+  experts::HeldSwitch mSwitch;
+  std::vector<Rank> mRanks;
+  std::vector<std::vector<double>> mLoads; ///< By set and expert, fading.
+  Instant mFadedAt{};
+  Instant mPlannedAt{};
+  Instant mCountsSince{};
+  experts::GroupMap mInForce; ///< As of when all ranks were known last.
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mStepAt = 0;
+  Instant mStepSeen{};
+  Duration mPass = milliseconds(50);
+  double mSkew = 1;
+  std::size_t mCopies = 0;
+};
+
+} // namespace laburnum::steward
--- /dev/null
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "laburnum/contract/settings.hpp"
+#include "laburnum/steward/engine.hpp"
+#include "laburnum/steward/map_duty.hpp"
+#include "laburnum/wire/link.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace laburnum::steward {
+
+/// The daemon beside one rank of a group: reads its engine, reports to the
+/// steward that keeps the group's map, carries out that one's orders, and
+/// keeps the map itself if it is that one. Thread safety: loop thread.
+class Steward
+{
+public:
+  /// Pre: the engine outlives this.
+  Steward(Loop& aLoop, const contract::Settings& aSettings, Engine& aEngine);
+
+  /// Listens and begins to report; throws what Asio throws. Pre: once.
+  void start();
+
+  /// The engines of the service, the own one among them. The steward beside
+  /// the one with the lowest address keeps the map. Pre: none.
+  void setEngines(std::vector<contract::Address> aEngines,
+                  MapDutyOptions aOptions);
+
+  /// Ends the loop. Pre: none.
+  void stop();
+
+private:
+  using LinkPtr = std::shared_ptr<wire::Link>;
+
+  asio::awaitable<void> follow();
+  asio::awaitable<void> keepMap();
+  asio::awaitable<bool> readEngine(bool aWithCounts);
+  asio::awaitable<void> carryOut(std::uint64_t aEpoch,
+                                 experts::EngineOrder aOrder);
+  void report(bool aWithCounts);
+  void connect();
+  void received(const LinkPtr& aLink, wire::AnyMessage&& aMessage);
+  void closed(const LinkPtr& aLink);
+  void takeNews(const LinkPtr& aLink, const wire::RankReportT& aReport);
+  void send(const experts::RankOrder& aOrder);
+  void tickDuty();
+  bool isKeeper() const { return mKeeper == mSettings.server.address; }
+  std::uint64_t nextVersion();
+
+  Loop& mLoop;
+  contract::Settings mSettings;
+  Engine& mEngine;
+  wire::Identity mIdentity;
+  std::optional<wire::LinkListener> mListener;
+  contract::Address mKeeper;
+  MapDutyOptions mOptions;
+  LinkPtr mToKeeper;
+  bool mIsConnecting = false;
+  EngineReport mReport;
+  EngineHolding mHolding;
+  EngineCounts mLast;
+  std::vector<std::uint32_t> mFresh; ///< Counts since the last report.
+  std::optional<MapDuty> mDuty;
+  std::string mDutyGroup;
+  std::map<std::size_t, LinkPtr> mRanks;
+  std::uint64_t mVersion = 0;
+  experts::SwitchPhase mLogged = experts::SwitchPhase::Idle;
+};
+
+} // namespace laburnum::steward
--- /dev/null
+++ b/steward/src/steward.cpp
@@ -0,0 +1,471 @@
+#include "laburnum/steward/steward.hpp"
+
+#include "laburnum/kernel/log.hpp"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+
+namespace laburnum::steward {
+namespace {
+
+/// Between two readings of the own engine. A hold that nobody waits for any
+/// more stalls the group until the next one.
+constexpr Duration kReadPeriod = milliseconds(250);
+/// Between two looks at a switch that is under way.
+constexpr Duration kSwitchPeriod = milliseconds(15);
+/// A switch may go wrong with orders of a former life still under way; they
+/// come at most 12 s late, nearly all of them sooner.
+constexpr Duration kQuietStart = seconds(2);
+
+std::int64_t
+orNone(const std::optional<std::uint64_t>& aValue)
+{
+  return aValue ? static_cast<std::int64_t>(*aValue) : -1;
+}
+
+std::optional<std::uint64_t>
+orNothing(std::int64_t aValue)
+{
+  return aValue < 0 ? std::nullopt
+                    : std::optional(static_cast<std::uint64_t>(aValue));
+}
+
+std::vector<std::unique_ptr<wire::LayerMapT>>
+toWire(const experts::GroupMap& aMap)
+{
+  std::vector<std::unique_ptr<wire::LayerMapT>> layers;
+  for (const experts::ExpertMap& set : aMap) {
+    auto layer = std::make_unique<wire::LayerMapT>();
+    for (const auto& slots : set.slots) {
+      auto rank = std::make_unique<wire::RankExpertsT>();
+      rank->experts = slots;
+      layer->ranks.push_back(std::move(rank));
+    }
+    layers.push_back(std::move(layer));
+  }
+  return layers;
+}
+
+experts::GroupMap
+fromWire(const std::vector<std::unique_ptr<wire::LayerMapT>>& aLayers)
+{
+  experts::GroupMap map;
+  for (const auto& layer : aLayers) {
+    experts::ExpertMap set;
+    for (const auto& rank : layer->ranks) {
+      set.slots.push_back(rank->experts);
+    }
+    map.push_back(std::move(set));
+  }
+  return map;
+}
+
+/// An order in the form of its frame.
+struct ToFrame
+{
+  wire::RankOrderT& frame;
+
+  void operator()(const experts::PrepareOrder& aOrder) const
+  {
+    frame.kind = wire::RankOrderKind::Prepare;
+    frame.version = aOrder.version;
+    frame.layers = toWire(aOrder.map);
+  }
+  void operator()(const experts::ArmOrder& aOrder) const
+  {
+    frame.kind = wire::RankOrderKind::Arm;
+    frame.version = aOrder.armed.version;
+    frame.step = aOrder.armed.step;
+  }
+  void operator()(const experts::DisarmOrder& aOrder) const
+  {
+    frame.kind = wire::RankOrderKind::Disarm;
+    frame.version = aOrder.version;
+  }
+  void operator()(const experts::HoldOrder& aOrder) const
+  {
+    frame.kind = wire::RankOrderKind::Hold;
+    frame.step = aOrder.step;
+  }
+  void operator()(const experts::ReleaseOrder& aOrder) const
+  {
+    frame.kind = wire::RankOrderKind::Release;
+    frame.step = aOrder.step;
+  }
+};
+
+experts::EngineOrder
+toOrder(const wire::RankOrderT& aFrame)
+{
+  switch (aFrame.kind) {
+    case wire::RankOrderKind::Prepare:
+      return experts::PrepareOrder{ aFrame.version, fromWire(aFrame.layers) };
+    case wire::RankOrderKind::Arm:
+      return experts::ArmOrder{ { aFrame.version, aFrame.step } };
+    case wire::RankOrderKind::Disarm:
+      return experts::DisarmOrder{ aFrame.version };
+    case wire::RankOrderKind::Hold:
+      return experts::HoldOrder{ aFrame.step };
+    case wire::RankOrderKind::Release:
+      break;
+  }
+  return experts::ReleaseOrder{ aFrame.step };
+}
+
+bool
+isBefore(const contract::Address& aLeft, const contract::Address& aRight)
+{
+  boost::system::error_code ignored; // Addresses were checked when parsed.
+  const auto left = asio::ip::make_address(aLeft.host, ignored);
+  const auto right = asio::ip::make_address(aRight.host, ignored);
+  return std::tie(left, aLeft.port) < std::tie(right, aRight.port);
+}
+
+} // namespace
+
+Steward::Steward(Loop& aLoop,
+                 const contract::Settings& aSettings,
+                 Engine& aEngine)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mEngine(aEngine)
+  , mIdentity{ .instance = aSettings.instance,
+               .incarnation = entropySeed(),
+               .role = aSettings.role,
+               .domain = aSettings.failureDomain,
+               .controlKey = aSettings.controlKey }
+{
+}
+
+void
+Steward::start()
+{
+  mListener.emplace(
+    mLoop,
+    mSettings.control,
+    mIdentity,
+    wire::LinkEvents{
+      .ready = [](const LinkPtr&) {},
+      .message =
+        [this](const LinkPtr& aLink, wire::AnyMessage&& aMessage) {
+          received(aLink, std::move(aMessage));
+        },
+      .closed = [this](const LinkPtr& aLink,
+                       const Failure&) { closed(aLink); } });
+  log(LogLevel::Info,
+      "started",
+      { { "control", mSettings.control.text() },
+        { "engine", mSettings.server.address.text() } });
+  mLoop.spawn(follow());
+  mLoop.spawn(keepMap());
+}
+
+void
+Steward::stop()
+{
+  log(LogLevel::Info, "stopped");
+  mLoop.stop();
+}
+
+std::uint64_t
+Steward::nextVersion()
+{
+  // Unix ms: larger than what any steward gave before, in this life or one
+  // before it, unless the clock goes back; then the states tell.
+  const auto now = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  const auto& state = mReport.state;
+  mVersion = std::max({ mVersion + 1,
+                        static_cast<std::uint64_t>(now.count()),
+                        state.inForce + 1,
+                        state.prepared.value_or(0) + 1 });
+  return mVersion;
+}
+
+void
+Steward::setEngines(std::vector<contract::Address> aEngines,
+                    MapDutyOptions aOptions)
+{
+  mOptions = aOptions;
+  const auto first =
+    std::min_element(aEngines.begin(), aEngines.end(), isBefore);
+  if (first == aEngines.end() || *first == mKeeper) {
+    return;
+  }
+  if (mDuty && mDuty->isBusy()) {
+    return; // What was begun is ended first; the next reading asks again.
+  }
+  log(LogLevel::Info,
+      "map_keeper_changed",
+      { { "former", mKeeper.text() },
+        { "keeper", first->text() },
+        { "engines", aEngines.size() } });
+  mKeeper = *first;
+  mDuty.reset();
+  if (mToKeeper) {
+    mToKeeper->close(Error::ServerLost, "another steward keeps the map");
+    mToKeeper.reset();
+  }
+}
+
+void
+Steward::connect()
+{
+  if (isKeeper() || mKeeper.port == 0 || mToKeeper || mIsConnecting) {
+    return;
+  }
+  mIsConnecting = true;
+  // Stewards listen on the same port on every instance.
+  const contract::Address address{ .host = mKeeper.host,
+                                   .port = mSettings.control.port };
+  wire::connectLink(
+    mLoop,
+    address,
+    mIdentity,
+    {},
+    { .ready =
+        [this](const LinkPtr& aLink) {
+          mIsConnecting = false;
+          mToKeeper = aLink;
+          report(false);
+        },
+      .message =
+        [this](const LinkPtr& aLink, wire::AnyMessage&& aMessage) {
+          received(aLink, std::move(aMessage));
+        },
+      .closed =
+        [this](const LinkPtr& aLink, const Failure&) {
+          mIsConnecting = false;
+          if (aLink == mToKeeper) {
+            mToKeeper.reset();
+          }
+        } });
+}
+
+asio::awaitable<void>
+Steward::follow()
+{
+  for (bool wasOpen = false;; co_await mLoop.sleep(kReadPeriod)) {
+    connect();
+    if (!co_await readEngine(true)) {
+      continue;
+    }
+    if (mReport.isOpen != wasOpen) {
+      wasOpen = mReport.isOpen;
+      log(LogLevel::Info,
+          wasOpen ? "group_open" : "group_broken",
+          { { "group", mReport.group },
+            { "rank", mReport.rank },
+            { "epoch", mReport.state.epoch } });
+    }
+    report(true);
+  }
+}
+
+asio::awaitable<bool>
+Steward::readEngine(bool aWithCounts)
+{
+  const auto report = co_await mEngine.report();
+  if (!report || report->group.empty()) {
+    co_return false;
+  }
+  const bool isNewLife = report->bornMs != mReport.bornMs;
+  mReport = *report;
+  if (isNewLife || mHolding.experts.empty() ||
+      mHolding.version != mReport.state.inForce) {
+    const auto holding = co_await mEngine.holding();
+    if (holding) {
+      mHolding = *holding;
+    }
+  }
+  if (!aWithCounts) {
+    co_return true;
+  }
+  const auto counts = co_await mEngine.counts();
+  if (!counts) {
+    co_return true;
+  }
+  const bool goesOn =
+    !isNewLife && counts->counts.size() == mLast.counts.size();
+  mFresh.resize(counts->counts.size(), 0);
+  for (std::size_t i = 0; i < counts->counts.size(); ++i) {
+    const std::uint64_t last = goesOn ? mLast.counts[i] : 0;
+    if (counts->counts[i] >= last) {
+      mFresh[i] += static_cast<std::uint32_t>(counts->counts[i] - last);
+    }
+  }
+  mLast = *counts;
+  co_return true;
+}
+
+void
+Steward::report(bool aWithCounts)
+{
+  if (mReport.group.empty() || mHolding.version != mReport.state.inForce) {
+    return;
+  }
+  const auto& state = mReport.state;
+  wire::RankReportT frame;
+  frame.group = mReport.group;
+  frame.epoch = state.epoch;
+  frame.rank = static_cast<std::uint32_t>(mReport.rank);
+  frame.size = static_cast<std::uint32_t>(mReport.size);
+  frame.open = mReport.isOpen;
+  frame.step = state.step;
+  frame.in_force = state.inForce;
+  frame.prepared = orNone(state.prepared);
+  if (state.armed) {
+    frame.armed_version = static_cast<std::int64_t>(state.armed->version);
+    frame.armed_step = static_cast<std::int64_t>(state.armed->step);
+  }
+  frame.held = orNone(state.held);
+  frame.experts = std::make_unique<wire::LayerMapT>();
+  for (const auto& set : mHolding.experts) {
+    auto experts = std::make_unique<wire::RankExpertsT>();
+    experts->experts = set;
+    frame.experts->ranks.push_back(std::move(experts));
+  }
+  if (isKeeper()) {
+    if (aWithCounts) {
+      frame.counts = std::move(mFresh);
+      mFresh.clear();
+    }
+    takeNews(nullptr, frame);
+  } else if (mToKeeper) {
+    if (aWithCounts) {
+      frame.counts = std::move(mFresh);
+      mFresh.clear();
+    }
+    mToKeeper->send(std::move(frame));
+  }
+}
+
+asio::awaitable<void>
+Steward::carryOut(std::uint64_t aEpoch, experts::EngineOrder aOrder)
+{
+  const std::size_t kind = aOrder.index();
+  const auto done = co_await mEngine.order(aEpoch, std::move(aOrder));
+  if (!done || !*done) {
+    log(LogLevel::Info,
+        "order_not_taken",
+        { { "kind", kind },
+          { "epoch", aEpoch },
+          { "reason", done ? "does not fit" : done.failure().detail } });
+  }
+  if (co_await readEngine(false)) {
+    report(false);
+  }
+}
+
+void
+Steward::received(const LinkPtr& aLink, wire::AnyMessage&& aMessage)
+{
+  if (const auto* news = std::get_if<wire::RankReportT>(&aMessage)) {
+    takeNews(aLink, *news);
+  } else if (const auto* order = std::get_if<wire::RankOrderT>(&aMessage)) {
+    if (aLink == mToKeeper) {
+      mLoop.spawn(carryOut(order->epoch, toOrder(*order)));
+    }
+  }
+}
+
+void
+Steward::closed(const LinkPtr& aLink)
+{
+  for (auto it = mRanks.begin(); it != mRanks.end();) {
+    if (it->second == aLink) {
+      if (mDuty) {
+        mDuty->lost(it->first);
+      }
+      it = mRanks.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+Steward::takeNews(const LinkPtr& aLink, const wire::RankReportT& aReport)
+{
+  if (!isKeeper() || mReport.group.empty() || aReport.group != mReport.group ||
+      aReport.rank >= aReport.size || aReport.size != mReport.size ||
+      aReport.experts == nullptr) {
+    return;
+  }
+  if (!mDuty || mDutyGroup != mReport.group) {
+    mDuty.emplace(mReport.rank, mReport.size, mOptions);
+    mDutyGroup = mReport.group;
+  }
+  RankNews news{ .rank = aReport.rank,
+                 .size = aReport.size,
+                 .isOpen = aReport.open };
+  news.state.epoch = aReport.epoch;
+  news.state.step = aReport.step;
+  news.state.inForce = aReport.in_force;
+  news.state.prepared = orNothing(aReport.prepared);
+  if (aReport.armed_version >= 0) {
+    news.state.armed =
+      experts::ArmedMap{ static_cast<std::uint64_t>(aReport.armed_version),
+                         static_cast<std::uint64_t>(aReport.armed_step) };
+  }
+  news.state.held = orNothing(aReport.held);
+  for (const auto& set : aReport.experts->ranks) {
+    news.experts.push_back(set->experts);
+  }
+  news.counts = aReport.counts;
+  if (aLink) {
+    mRanks[aReport.rank] = aLink;
+  }
+  mDuty->news(news, mLoop.now());
+}
+
+void
+Steward::send(const experts::RankOrder& aOrder)
+{
+  if (aOrder.rank == mReport.rank) {
+    mLoop.spawn(carryOut(mReport.state.epoch, aOrder.order));
+    return;
+  }
+  const auto found = mRanks.find(aOrder.rank);
+  if (found == mRanks.end()) {
+    return; // Its state is unknown too; the switch waits for it.
+  }
+  wire::RankOrderT frame;
+  frame.epoch = mReport.state.epoch;
+  std::visit(ToFrame{ frame }, aOrder.order);
+  found->second->send(std::move(frame));
+}
+
+void
+Steward::tickDuty()
+{
+  for (const experts::RankOrder& order :
+       mDuty->tick(mLoop.now(), nextVersion())) {
+    send(order);
+  }
+  if (mDuty->phase() != mLogged) {
+    mLogged = mDuty->phase();
+    log(LogLevel::Info,
+        "map_change",
+        { { "phase", nameIn(experts::kSwitchPhaseNames, mLogged) },
+          { "skew", mDuty->skew() },
+          { "copies", mDuty->copies() },
+          { "in_force", mReport.state.inForce },
+          { "step", mReport.state.step } });
+  }
+}
+
+asio::awaitable<void>
+Steward::keepMap()
+{
+  co_await mLoop.sleep(kQuietStart);
+  for (;;) {
+    if (mDuty && isKeeper()) {
+      tickDuty();
+    }
+    const bool isBusy = mDuty && mDuty->isBusy();
+    co_await mLoop.sleep(isBusy ? kSwitchPeriod : kReadPeriod / 2);
+  }
+}
+
+} // namespace laburnum::steward
--- a/wire/include/laburnum/wire/message.hpp
+++ b/wire/include/laburnum/wire/message.hpp
@@ -40,7 +40,9 @@
                                 BucketGrantT,
                                 DigestT,
                                 RankMessageT,
-                                PrepareMapT>;
+                                PrepareMapT,
+                                RankReportT,
+                                RankOrderT>;
 
 /// Appends the length and the frame of a message.
 /// Pre: the message is shorter than kMaxFrameBytes. Thread safety: one thread
--- a/wire/src/message.cpp
+++ b/wire/src/message.cpp
@@ -130,7 +130,9 @@
                                              unpack<BucketGrant>,
                                              unpack<Digest>,
                                              unpack<RankMessage>,
-                                             unpack<PrepareMap> };
+                                             unpack<PrepareMap>,
+                                             unpack<RankReport>,
+                                             unpack<RankOrder> };
   const auto kind = static_cast<std::size_t>(frame->message_type());
   if (kind == 0 || kind >= std::size(kUnpackers)) {
     return damaged("the message's kind is unknown");
