Admit streams by the predicted pass; follow shifts of favour sooner

Cause: entries admitted by the pass as measured, which lags what they let in; after a shift the map followed 1.5 s later, and every stream under way had one pause above 120 ms. Ruled out: time to first token (only a few streams late by it). Change: the pass predicted in proportion to the streams let in since; two memories of the loads; switch two passes after arming unless orders were lost lately; SIGHUP no longer ends stewards. Conclusion: the pause during a change is the next bound.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -106,6 +106,8 @@
   steward::Steward steward(loop, aSettings, engine);
   platform::users::EngineDirectory directory(loop, aSettings, steward);
   asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
+  // Its settings hold nothing that changes while it runs.
+  std::signal(SIGHUP, SIG_IGN);
   try {
     steward.start();
   } catch (const std::exception& error) {
--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -67,10 +67,13 @@
 
 struct HeldSwitchOptions
 {
-  /// Time from arming to the switch, in passes: enough to send an order that
-  /// gets no answer a few times more before the group has to wait.
-  Duration lead = milliseconds(600);
-  std::uint64_t leastLead = 6;        ///< Passes.
+  /// Time from arming to the switch: enough for an order there and back, and
+  /// after orders without an answer enough to send one a few times more before
+  /// the group has to wait.
+  Duration lead = milliseconds(120);
+  Duration leadAfterLoss = milliseconds(600);
+  Duration lossMemory = seconds(12);  ///< The longest an order is late.
+  std::uint64_t leastLead = 2;        ///< Passes.
   Duration again = milliseconds(100); ///< An order is sent again after it.
   Duration prepareAgain = milliseconds(400);
   Duration prepareTime = seconds(4); ///< Then the change is given up.
@@ -151,6 +154,7 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mUndoVersion = 0;
   std::uint64_t mStep = 0;
+  std::optional<Instant> mLostAt; ///< An order to arm had to be sent again.
   GroupMap mMap;
   Instant mPhaseAt{};
   std::map<std::size_t, Instant> mSentAt;
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -174,8 +174,10 @@
   if (!due(mOwn, aNow, mOptions.again)) {
     return {};
   }
+  const bool isLossy = mLostAt && aNow - *mLostAt < mOptions.lossMemory;
   const auto passes = static_cast<std::uint64_t>(
-    toSeconds(mOptions.lead) / std::max(0.005, toSeconds(aPass)));
+    toSeconds(isLossy ? mOptions.leadAfterLoss : mOptions.lead) /
+    std::max(0.005, toSeconds(aPass)));
   // Each try names another step, so that a late release of an earlier one
   // cannot release this.
   mStep = std::max(mStep + 1,
@@ -207,6 +209,9 @@
   for (std::size_t rank = 0; rank < mRanks; ++rank) {
     if (!(aStates[rank] && isArmed(*aStates[rank])) &&
         due(rank, aNow, mOptions.again)) {
+      if (aNow - mPhaseAt >= mOptions.again) {
+        mLostAt = aNow;
+      }
       orders.push_back({ rank, ArmOrder{ wanted } });
     }
   }
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -178,8 +178,12 @@
     mSequence = EventSequence(static_cast<std::uint64_t>(*last));
   }
   if (mDemand.isGeneration && isStream()) {
+    const EngineRuntime& runtime = *mService->runtime;
     const auto wait = mContext.admissions[mService->name].refusal(
-      mContext.streams[mService->name], mRoute->gapObjective, mBegan);
+      mContext.streams[mService->name],
+      mRoute->gapObjective,
+      fromSeconds(runtime.stepMs * runtime.stride / 1000),
+      mBegan);
     if (wait) {
       refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
       return false;
@@ -303,6 +307,8 @@
   mIsEvents =
     isSuccess && isStream() && mHeadGood &&
     mAnswer[bhttp::field::content_type].starts_with("text/event-stream");
+  // A server that has begun to answer is no longer one that may never do.
+  mAttemptTimer.cancel();
   if (!mHeadGood) {
     attemptEnded(AttemptEnd::Spoiled, "not the answer to this request");
   }
@@ -347,7 +353,8 @@
     const Duration gap = now - mLastEvent;
     mLongestGap = std::max(mLongestGap, gap);
     if (mDemand.isGeneration) {
-      mContext.admissions[mService->name].gapSeen(gap, now);
+      mContext.admissions[mService->name].gapSeen(
+        gap, mContext.streams[mService->name], now);
     }
   }
   mLastEvent = now;
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -13,8 +13,13 @@
 {
   std::size_t placements = 1;
   std::size_t standby = 1;
-  Duration memory = milliseconds(600); ///< Time constant of the loads.
-  Duration settle = milliseconds(300); ///< Of counts, before a plan.
+  /// Time constants of the loads: the long one evens out chance, the short one
+  /// tells soon of another favour.
+  Duration memory = milliseconds(900);
+  Duration shortMemory = milliseconds(200);
+  /// The short view holds if it finds the ranks so much less even.
+  double shiftRatio = 1.25;
+  Duration settle = milliseconds(200); ///< Of counts, before a plan.
   /// A change is worth it above this part of the time of a pass: passes take
   /// 15 in 100 longer while experts are copied.
   double leastGain = 0.03;
@@ -69,6 +74,7 @@
     Instant at{};
   };
   void addCounts(const RankNews& aNews, Instant aNow);
+  void followShift();
   bool plan(Instant aNow, std::uint64_t aVersion);
   experts::GroupMap inForce() const;
 
@@ -76,7 +82,8 @@
   MapDutyOptions mOptions;
   experts::HeldSwitch mSwitch;
   std::vector<Rank> mRanks;
-  std::vector<std::vector<double>> mLoads; ///< By set and expert, fading.
+  std::vector<std::vector<double>> mLoads;  ///< By set and expert, fading.
+  std::vector<std::vector<double>> mRecent; ///< As `mLoads`, fading sooner.
   Instant mFadedAt{};
   Instant mPlannedAt{};
   Instant mCountsSince{};
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Least time between two looks for a better map.
-constexpr Duration kPlanPeriod = milliseconds(250);
+constexpr Duration kPlanPeriod = milliseconds(100);
 /// Share of a new pass time in the smoothed one.
 constexpr double kPassSmoothing = 0.3;
 
@@ -29,8 +29,7 @@
   Rank& rank = mRanks[aNews.rank];
   if (aNews.state.epoch != mEpoch && aNews.rank == mOwn) {
     mEpoch = aNews.state.epoch;
-    mLoads.clear();
-    mCountsSince = aNow;
+    // What was favoured before the group formed anew still is.
   }
   if (aNews.rank == mOwn) {
     if (aNews.state.step > mStepAt && mStepAt > 0) {
@@ -65,15 +64,18 @@
   const std::size_t experts = aNews.counts.size() / sets;
   if (mLoads.size() != sets || mLoads[0].size() != experts) {
     mLoads.assign(sets, std::vector<double>(experts, 0));
+    mRecent = mLoads;
     mCountsSince = aNow;
   }
-  const double fade =
-    std::exp(-toSeconds(aNow - mFadedAt) / toSeconds(mOptions.memory));
+  const double age = toSeconds(aNow - mFadedAt);
+  const double fade = std::exp(-age / toSeconds(mOptions.memory));
+  const double fadeSoon = std::exp(-age / toSeconds(mOptions.shortMemory));
   mFadedAt = aNow;
   for (std::size_t set = 0; set < sets; ++set) {
     for (std::size_t expert = 0; expert < experts; ++expert) {
-      mLoads[set][expert] =
-        mLoads[set][expert] * fade + aNews.counts[set * experts + expert];
+      const double count = aNews.counts[set * experts + expert];
+      mLoads[set][expert] = mLoads[set][expert] * fade + count;
+      mRecent[set][expert] = mRecent[set][expert] * fadeSoon + count;
     }
   }
 }
@@ -120,6 +122,20 @@
   return mSwitch.tick(aNow, states, mPass, aVersion, mInForce);
 }
 
+void
+MapDuty::followShift()
+{
+  double smooth = 0;
+  double recent = 0;
+  for (std::size_t set = 0; set < mInForce.size(); ++set) {
+    smooth += experts::skewOf(mInForce[set], mLoads[set]);
+    recent += experts::skewOf(mInForce[set], mRecent[set]);
+  }
+  if (recent > smooth * mOptions.shiftRatio) {
+    mLoads = mRecent;
+  }
+}
+
 bool
 MapDuty::plan(Instant aNow, std::uint64_t aVersion)
 {
@@ -132,6 +148,7 @@
   if (present.size() != mLoads.size()) {
     return false;
   }
+  followShift();
   experts::GroupMap next;
   const experts::CopyPlanOptions options{ .placements = mOptions.placements,
                                           .newPerRank = mOptions.standby,
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -10,7 +10,7 @@
 
 /// Between two readings of the own engine. A hold that nobody waits for any
 /// more stalls the group until the next one.
-constexpr Duration kReadPeriod = milliseconds(250);
+constexpr Duration kReadPeriod = milliseconds(150);
 /// Between two looks at a switch that is under way.
 constexpr Duration kSwitchPeriod = milliseconds(15);
 /// A switch may go wrong with orders of a former life still under way; they
