--- a/gateway/include/laburnum/gateway/forwarding.hpp
+++ b/gateway/include/laburnum/gateway/forwarding.hpp
@@ -49,6 +49,7 @@
   void leaveAttempt(AttemptEnd aEnd);
   void finish(std::string_view aOutcome, unsigned aStatus);
   Duration left() const;
+  Duration emptyPass() const;
   bool isStream() const { return mRoute->repeat == Repeat::Stream; }
 
   Context& mContext;
--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -8,10 +8,12 @@
 
 struct GroupAdmissionOptions
 {
-  /// Part of the allowed pause that passes may take. The rest is for the
-  /// seconds after other experts come into favour, when a pass takes up to
-  /// twice as long until the map follows.
-  double gapShare = 0.6;
+  /// Part of the allowed pause that a pass may take while the expert map suits
+  /// the load. After other experts come into favour a pass takes about twice
+  /// as long until the map follows, and then must still be in time.
+  double evenShare = 0.7;
+  /// Part of the allowed pause that a pass may take at any time.
+  double presentShare = 0.92;
   /// Streams of this entry that are always let in: the measure needs some.
   double least = 3;
   /// What a refused caller is told to wait at least and at most. Callers
@@ -36,12 +38,14 @@
   }
 
   /// A pause between two events of a stream was seen, beside so many streams
-  /// of this entry. Pre: none.
-  void gapSeen(Duration aGap, int aStreams, Instant aNow);
+  /// of this entry. aEmptyPass is a pass without streams. Pre: none.
+  void gapSeen(Duration aGap,
+               int aStreams,
+               Duration aEmptyPass,
+               Instant aNow);
 
   /// Nothing if a stream may begin beside so many others of this entry, or
-  /// how long its caller should wait. aEmptyPass is a pass without streams.
-  /// Pre: times never go back.
+  /// how long its caller should wait. Pre: times never go back.
   std::optional<Duration> refusal(int aStreams,
                                   Duration aAllowedGap,
                                   Duration aEmptyPass,
@@ -51,9 +55,14 @@
   Duration pass() const { return fromSeconds(mPassMs / 1000); }
 
 private:
+  double predicted(double aMsPerStream, int aStreams, Duration aEmptyPass) const;
+
   GroupAdmissionOptions mOptions;
   double mPassMs = 0;
   double mStreams = 0; ///< Smoothed like the pass.
+  /// What a stream adds to a pass while the map suits the load: the least of
+  /// the last seconds.
+  double mEvenMsPerStream = 0;
   Instant mSeenAt{};
 };
 
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -178,11 +178,10 @@
     mSequence = EventSequence(static_cast<std::uint64_t>(*last));
   }
   if (mDemand.isGeneration && isStream()) {
-    const EngineRuntime& runtime = *mService->runtime;
     const auto wait = mContext.admissions[mService->name].refusal(
       mContext.streams[mService->name],
       mRoute->gapObjective,
-      fromSeconds(runtime.stepMs * runtime.stride / 1000),
+      emptyPass(),
       mBegan);
     if (wait) {
       refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
@@ -197,6 +196,13 @@
   return true;
 }
 
+Duration
+Forwarding::emptyPass() const
+{
+  const EngineRuntime& runtime = *mService->runtime;
+  return fromSeconds(runtime.stepMs * runtime.stride / 1000);
+}
+
 void
 Forwarding::startTimer(Duration aTime, bool aIsAttempt)
 {
@@ -354,7 +360,7 @@
     mLongestGap = std::max(mLongestGap, gap);
     if (mDemand.isGeneration) {
       mContext.admissions[mService->name].gapSeen(
-        gap, mContext.streams[mService->name], now);
+        gap, mContext.streams[mService->name], emptyPass(), now);
     }
   }
   mLastEvent = now;
--- a/gateway/src/group_admission.cpp
+++ b/gateway/src/group_admission.cpp
@@ -7,6 +7,8 @@
 
 /// Weight of one pass in the smoothed measure, over all streams that tell it.
 constexpr double kPassWeight = 0.35;
+/// As above, by which the least slope rises: seconds at usual passes.
+constexpr double kEvenWeight = 0.02;
 /// A measure older than this says nothing of the group's load now.
 constexpr Duration kFresh = milliseconds(1000);
 
@@ -19,40 +21,60 @@
 } // namespace
 
 void
-GroupAdmission::gapSeen(Duration aGap, int aStreams, Instant aNow)
+GroupAdmission::gapSeen(Duration aGap,
+                        int aStreams,
+                        Duration aEmptyPass,
+                        Instant aNow)
 {
   const double gap = millisOf(aGap);
   const double streams = std::max(1, aStreams);
   if (mPassMs == 0 || aNow - mSeenAt > kFresh) {
     mPassMs = gap;
     mStreams = streams;
+  }
+  const double weight = kPassWeight / streams;
+  mPassMs += weight * (gap - mPassMs);
+  mStreams += weight * (streams - mStreams);
+  const double slope =
+    std::max(0.0, mPassMs - millisOf(aEmptyPass)) / std::max(1.0, mStreams);
+  if (mEvenMsPerStream == 0 || slope < mEvenMsPerStream) {
+    mEvenMsPerStream = slope;
   } else {
-    const double weight = kPassWeight / streams;
-    mPassMs += weight * (gap - mPassMs);
-    mStreams += weight * (streams - mStreams);
+    mEvenMsPerStream += kEvenWeight / streams * (slope - mEvenMsPerStream);
   }
   mSeenAt = aNow;
 }
 
+double
+GroupAdmission::predicted(double aMsPerStream,
+                          int aStreams,
+                          Duration aEmptyPass) const
+{
+  return millisOf(aEmptyPass) + aMsPerStream * (aStreams + 1);
+}
+
 std::optional<Duration>
 GroupAdmission::refusal(int aStreams,
                         Duration aAllowedGap,
                         Duration aEmptyPass,
                         Instant aNow) const
 {
-  if (aStreams < mOptions.least || aAllowedGap == Duration(0) || mPassMs == 0 ||
-      aNow - mSeenAt > kFresh) {
+  if (aStreams < mOptions.least || aAllowedGap == Duration(0) ||
+      mPassMs == 0 || aNow - mSeenAt > kFresh) {
     return std::nullopt;
   }
-  const double empty = millisOf(aEmptyPass);
-  const double allowed = millisOf(aAllowedGap) * mOptions.gapShare;
-  const double loaded = std::max(0.0, mPassMs - empty);
-  const double predicted =
-    empty + loaded * (aStreams + 1) / std::max(1.0, mStreams);
-  if (predicted <= allowed) {
+  const double allowed = millisOf(aAllowedGap);
+  const double slope = std::max(0.0, mPassMs - millisOf(aEmptyPass)) /
+                       std::max(1.0, mStreams);
+  const double excess =
+    std::max(predicted(slope, aStreams, aEmptyPass) /
+               (allowed * mOptions.presentShare),
+             predicted(mEvenMsPerStream, aStreams, aEmptyPass) /
+               (allowed * mOptions.evenShare)) -
+    1;
+  if (excess <= 0) {
     return std::nullopt;
   }
-  const double excess = predicted / allowed - 1;
   const auto span = mOptions.longestWait - mOptions.leastWait;
   return mOptions.leastWait +
          fromSeconds(toSeconds(span) * std::min(1.0, excess));
