Copy fewer experts in a change

Cause: a change copied up to two experts a rank and set, 0.9 s, and many copies that lowered the largest load by little. Change: one new expert a rank and set, and 0.04 of the mean for each copy.

--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -11,7 +11,7 @@
   std::size_t maxCopies = 64; ///< Copies of one change, over all ranks.
   /// A step is worth a copy only if it lowers the largest load by this part of
   /// the mean.
-  double leastGain = 0.01;
+  double leastGain = 0.04;
 };
 
 /// Improves the map of one set of layers by copies of hot experts, into places
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -8,6 +8,9 @@
 
 /// Least time between two looks for a better map.
 constexpr Duration kPlanPeriod = milliseconds(100);
+/// Experts that one change brings to a rank in a set of layers. A rank copies
+/// them one after another, and until the last is there the old map holds.
+constexpr std::size_t kNewPerRank = 1;
 /// Share of a new pass time in the smoothed one.
 constexpr double kPassSmoothing = 0.3;
 
@@ -151,7 +154,8 @@
   followShift();
   experts::GroupMap next;
   const experts::CopyPlanOptions options{ .placements = mOptions.placements,
-                                          .newPerRank = mOptions.standby,
+                                          .newPerRank = std::min(
+                                            kNewPerRank, mOptions.standby),
                                           .maxCopies = mOptions.maxCopies };
   double before = 0;
   double after = 0;
