Take over a held step only if its release cannot be under way; tests of the decisions

Ruled out: reuse of a step's number for a second hold (mended too, but it was not the cause). Change: a hold is taken over after it has lasted half a second, is committed if all ranks are armed for it, and engine reads that overlap never go back. With a release before all are armed, or without the later prepare, the same explorer finds mixed steps.

--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -65,8 +65,16 @@
   EngineOrder order;
 };
 
+/// Guards that the explorer of the tests turns off to show what each is for.
+struct HeldSwitchRules
+{
+  bool waitsForAll = true;  ///< Off: released once half of the ranks are armed.
+  bool undoPrepares = true; ///< Off: an undone rank is disarmed only.
+};
+
 struct HeldSwitchOptions
 {
+  HeldSwitchRules rules;
   /// Time from arming to the switch: enough for an order there and back, and
   /// after orders without an answer enough to send one a few times more before
   /// the group has to wait.
@@ -79,6 +87,9 @@
   Duration prepareTime = seconds(4); ///< Then the change is given up.
   Duration holdTime = milliseconds(900);
   Duration armTime = milliseconds(1500); ///< Then the change is undone.
+  /// A hold that nobody waits for is taken over after it. States are read
+  /// several times as often.
+  Duration recoverAfter = milliseconds(500);
 };
 
 enum class SwitchPhase : std::uint8_t
@@ -154,7 +165,8 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mUndoVersion = 0;
   std::uint64_t mStep = 0;
-  std::optional<Instant> mLostAt; ///< An order to arm had to be sent again.
+  std::optional<Instant> mHeldSince; ///< While idle.
+  std::optional<Instant> mLostAt;    ///< An order to arm had to be sent again.
   GroupMap mMap;
   Instant mPhaseAt{};
   std::map<std::size_t, Instant> mSentAt;
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -116,14 +116,33 @@
                     std::uint64_t aNewVersion)
 {
   const auto& own = *aStates[mOwn];
-  if (!own.held) {
+  if (!own.held || own.step + 1 < *own.held) {
+    mHeldSince.reset();
     return false;
   }
-  // A hold of a former life, or one that was carried out late. Even if all
-  // ranks seem armed, a disarm of that life may still be under way.
+  // A hold of a former life, or one that was carried out late. An old state
+  // may show a hold that was just released; one that lasts is none.
+  if (!mHeldSince) {
+    mHeldSince = aNow;
+  }
+  if (aNow - *mHeldSince < mOptions.recoverAfter ||
+      !all(aStates, [](const RankState&) { return true; })) {
+    return false;
+  }
+  mHeldSince.reset();
   mStep = *own.held;
-  mUndoVersion = aNewVersion;
-  enter(SwitchPhase::Undoing, aNow);
+  const auto armed = own.armed;
+  const bool isCommitted =
+    armed && armed->step == mStep &&
+    all(aStates, [&](const RankState& aRank) { return aRank.armed == armed; });
+  if (isCommitted) {
+    // The release may be under way already, so nothing may be disarmed.
+    mVersion = armed->version;
+    enter(SwitchPhase::Releasing, aNow);
+  } else {
+    mUndoVersion = aNewVersion;
+    enter(SwitchPhase::Undoing, aNow);
+  }
   return true;
 }
 
@@ -134,7 +153,6 @@
     return aRank.prepared == mVersion;
   };
   if (all(aStates, isPrepared)) {
-    mStep = 0;
     enter(SwitchPhase::Holding, aNow);
     return {};
   }
@@ -197,7 +215,11 @@
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
-  if (all(aStates, isArmed)) {
+  const auto armed = static_cast<std::size_t>(
+    std::count_if(aStates.begin(), aStates.end(), [&](const auto& aState) {
+      return aState && isArmed(*aState);
+    }));
+  if (armed == mRanks || (!mOptions.rules.waitsForAll && armed * 2 > mRanks)) {
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
@@ -222,7 +244,8 @@
 HeldSwitch::undo(Instant aNow, const States& aStates, const GroupMap& aInForce)
 {
   const auto isUndone = [this](const RankState& aRank) {
-    return !aRank.armed && aRank.prepared == mUndoVersion;
+    return !aRank.armed &&
+           (aRank.prepared == mUndoVersion || !mOptions.rules.undoPrepares);
   };
   if (all(aStates, isUndone)) {
     enter(SwitchPhase::Releasing, aNow);
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -66,6 +66,8 @@
   std::string mDutyGroup;
   std::map<std::size_t, LinkPtr> mRanks;
   std::uint64_t mVersion = 0;
+  std::uint64_t mReads = 0;
+  std::uint64_t mLastRead = 0;
   experts::SwitchPhase mLogged = experts::SwitchPhase::Idle;
 };
 
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -265,10 +265,13 @@
 asio::awaitable<bool>
 Steward::readEngine(bool aWithCounts)
 {
+  // Reads overlap; an older one must not take the place of a newer one.
+  const std::uint64_t read = ++mReads;
   const auto report = co_await mEngine.report();
-  if (!report || report->group.empty()) {
+  if (!report || report->group.empty() || read < mLastRead) {
     co_return false;
   }
+  mLastRead = read;
   const bool isNewLife = report->bornMs != mReport.bornMs;
   mReport = *report;
   if (isNewLife || mHolding.experts.empty() ||
