Log to standard output, bounded and never waiting; test the gateway against faulty servers

Change: BoundedWriter below log4cplus; fault table of answers, smuggling, resumed streams, callers that leave, stops; forwarding split by job.

--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -39,6 +39,9 @@
   /// True if callers may be sent here. Pre: none.
   bool isReady() const;
 
+  /// Where callers are met, with the port that was bound. Pre: `start`.
+  contract::Address callers() const;
+
   Context& context() { return mContext; }
 
 private:
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -1,10 +1,10 @@
 #include "laburnum/gateway/forwarding.hpp"
 
-#include "laburnum/kernel/hash.hpp"
+#include "end_to_end.hpp"
+
 #include "laburnum/kernel/log.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace laburnum::gateway {
 namespace {
@@ -17,62 +17,6 @@
 constexpr Duration kConnectTimeout = milliseconds(300);
 /// An idempotent request is sent elsewhere after this many objectives.
 constexpr double kObjectivesOfAttempt = 2.5;
-/// What a caller is told to wait when no server is there.
-constexpr Duration kNoServerWait = milliseconds(600);
-
-/// The number at the start of a text; nothing if there is none.
-std::optional<std::int64_t>
-numberOf(std::string_view aText)
-{
-  std::int64_t value = 0;
-  const auto [end, error] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (error != std::errc()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::string_view
-pathOf(std::string_view aTarget)
-{
-  return aTarget.substr(0, aTarget.find('?'));
-}
-
-/// Headers that concern one connection only (RFC 9110, 7.6.1).
-bool
-isHopByHop(const bhttp::fields::value_type& aField, std::string_view aListed)
-{
-  switch (aField.name()) {
-    case bhttp::field::connection:
-    case bhttp::field::keep_alive:
-    case bhttp::field::proxy_authenticate:
-    case bhttp::field::proxy_authorization:
-    case bhttp::field::proxy_connection:
-    case bhttp::field::te:
-    case bhttp::field::trailer:
-    case bhttp::field::transfer_encoding:
-    case bhttp::field::upgrade:
-    case bhttp::field::content_length:
-      return true;
-    default:
-      return !aListed.empty() &&
-             bhttp::token_list(aListed).exists(aField.name_string());
-  }
-}
-
-template<class From, class To>
-void
-copyEndToEnd(const From& aFrom, To& aTo)
-{
-  const std::string_view listed = aFrom[bhttp::field::connection];
-  for (const auto& field : aFrom) {
-    if (!isHopByHop(field, listed)) {
-      aTo.insert(field.name(), field.name_string(), field.value());
-    }
-  }
-}
-
 /// Statuses that promise that the request did not run.
 bool
 promisesNotRun(unsigned aStatus)
@@ -82,20 +26,6 @@
 
 } // namespace
 
-Forwarding::Forwarding(Context& aContext,
-                       CallerConnection& aCaller,
-                       http::Request aRequest)
-  : mContext(aContext)
-  , mCaller(&aCaller)
-  , mRequest(std::move(aRequest))
-  , mConfiguration(aContext.configuration)
-  , mBegan(aContext.loop.now())
-  , mDeadline(mBegan)
-  , mTimer(aContext.loop.context())
-  , mAttemptTimer(aContext.loop.context())
-{
-}
-
 Duration
 Forwarding::left() const
 {
@@ -112,90 +42,6 @@
   place();
 }
 
-bool
-Forwarding::admit()
-{
-  if (!mConfiguration) {
-    refuse(503, { .error = Error::NotReady, .retryAfter = kNoServerWait });
-    return false;
-  }
-  std::string host(mRequest[bhttp::field::host]);
-  host = host.substr(0, host.find(':'));
-  mRoute = mConfiguration->match(host, pathOf(mRequest.target()));
-  if (mRoute == nullptr) {
-    refuse(404, { .error = Error::UnknownPath });
-    return false;
-  }
-  if (mConfiguration->hasAccounts && !mRoute->isPublic) {
-    constexpr std::string_view kScheme = "Bearer ";
-    const std::string_view value = mRequest[bhttp::field::authorization];
-    const auto account = value.starts_with(kScheme)
-                           ? mConfiguration->accountsByKey.find(
-                               std::string(value.substr(kScheme.size())))
-                           : mConfiguration->accountsByKey.end();
-    if (account == mConfiguration->accountsByKey.end()) {
-      refuse(401, { .error = Error::UnknownKey });
-      return false;
-    }
-    mAccount = account->second.name;
-  }
-  const auto stated = numberOf(mRequest[mContext.names.deadlineMs]);
-  Duration time = mRoute->timeout;
-  if (stated) {
-    time = std::min<Duration>(time,
-                              milliseconds(std::max<std::int64_t>(0, *stated)));
-  }
-  mDeadline = mBegan + time;
-  double weights = 0;
-  for (const RouteTarget& target : mRoute->targets) {
-    weights += target.weight;
-  }
-  double pick = mContext.random.unit() * weights;
-  for (const RouteTarget& target : mRoute->targets) {
-    pick -= target.weight;
-    if (pick < 0 || &target == &mRoute->targets.back()) {
-      mService = mConfiguration->service(target.service);
-      break;
-    }
-  }
-  if (mService == nullptr) {
-    refuse(503, { .error = Error::NoServer, .retryAfter = kNoServerWait });
-    return false;
-  }
-  mCourse.emplace(mRoute->repeat, mRoute->mayRepeat(), mRoute->maxAttempts);
-  mContext.allowance(mService->name).request(mBegan);
-  mFingerprint = mix(hash64(mAccount),
-                     mix(hash64(mRequest.target()), hash64(mRequest.body())));
-  if (mContext.quarantine.suspicion(mFingerprint, mBegan) ==
-      policy::Suspicion::Refused) {
-    refuse(503, { .error = Error::Quarantined, .retryAfter = seconds(5) });
-    return false;
-  }
-  mDemand.isGeneration = mService->runtime.has_value();
-  mDemand.promptTokens = static_cast<double>(
-    numberOf(mRequest[mContext.names.promptTokens]).value_or(0));
-  if (const auto last = numberOf(mRequest[mContext.names.lastEventId])) {
-    mSequence = EventSequence(static_cast<std::uint64_t>(*last));
-  }
-  if (mDemand.isGeneration && isStream()) {
-    const auto wait = mContext.admissions[mService->name].refusal(
-      mContext.streams[mService->name],
-      mRoute->gapObjective,
-      emptyPass(),
-      mBegan);
-    if (wait) {
-      refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
-      return false;
-    }
-  }
-  if (isStream()) {
-    mCountsStream = true;
-    ++mContext.streams[mService->name];
-  }
-  startTimer(time, false);
-  return true;
-}
-
 Duration
 Forwarding::emptyPass() const
 {
@@ -544,6 +390,15 @@
   if (mCountsStream) {
     --mContext.streams[mService->name];
   }
+  Metrics& metrics = mContext.metrics;
+  const std::string kind(mRoute ? nameIn(kRepeatNames, mRoute->repeat)
+                                : "unrouted");
+  ++metrics.counter("laburnum_gateway_requests_total{kind=\"" + kind +
+                    "\",outcome=\"" + std::string(aOutcome) + "\"}");
+  if (aOutcome == "answered") {
+    metrics.summary("laburnum_gateway_answer_seconds_" + kind)
+      .add(mContext.loop.now() - mBegan);
+  }
   log(LogLevel::Info,
       "request_ended",
       { { "request", mId },
--- /dev/null
+++ b/gateway/src/forwarding_admit.cpp
@@ -0,0 +1,131 @@
+#include "laburnum/gateway/forwarding.hpp"
+
+#include "end_to_end.hpp"
+#include "laburnum/kernel/hash.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace laburnum::gateway {
+namespace {
+
+/// The number at the start of a text; nothing if there is none.
+std::optional<std::int64_t>
+numberOf(std::string_view aText)
+{
+  std::int64_t value = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (error != std::errc()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string_view
+pathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+} // namespace
+
+Forwarding::Forwarding(Context& aContext,
+                       CallerConnection& aCaller,
+                       http::Request aRequest)
+  : mContext(aContext)
+  , mCaller(&aCaller)
+  , mRequest(std::move(aRequest))
+  , mConfiguration(aContext.configuration)
+  , mBegan(aContext.loop.now())
+  , mDeadline(mBegan)
+  , mTimer(aContext.loop.context())
+  , mAttemptTimer(aContext.loop.context())
+{
+}
+
+bool
+Forwarding::admit()
+{
+  if (!mConfiguration) {
+    refuse(503, { .error = Error::NotReady, .retryAfter = kNoServerWait });
+    return false;
+  }
+  std::string host(mRequest[bhttp::field::host]);
+  host = host.substr(0, host.find(':'));
+  mRoute = mConfiguration->match(host, pathOf(mRequest.target()));
+  if (mRoute == nullptr) {
+    refuse(404, { .error = Error::UnknownPath });
+    return false;
+  }
+  if (mConfiguration->hasAccounts && !mRoute->isPublic) {
+    constexpr std::string_view kScheme = "Bearer ";
+    const std::string_view value = mRequest[bhttp::field::authorization];
+    const auto account = value.starts_with(kScheme)
+                           ? mConfiguration->accountsByKey.find(
+                               std::string(value.substr(kScheme.size())))
+                           : mConfiguration->accountsByKey.end();
+    if (account == mConfiguration->accountsByKey.end()) {
+      refuse(401, { .error = Error::UnknownKey });
+      return false;
+    }
+    mAccount = account->second.name;
+  }
+  const auto stated = numberOf(mRequest[mContext.names.deadlineMs]);
+  Duration time = mRoute->timeout;
+  if (stated) {
+    time = std::min<Duration>(time,
+                              milliseconds(std::max<std::int64_t>(0, *stated)));
+  }
+  mDeadline = mBegan + time;
+  double weights = 0;
+  for (const RouteTarget& target : mRoute->targets) {
+    weights += target.weight;
+  }
+  double pick = mContext.random.unit() * weights;
+  for (const RouteTarget& target : mRoute->targets) {
+    pick -= target.weight;
+    if (pick < 0 || &target == &mRoute->targets.back()) {
+      mService = mConfiguration->service(target.service);
+      break;
+    }
+  }
+  if (mService == nullptr) {
+    refuse(503, { .error = Error::NoServer, .retryAfter = kNoServerWait });
+    return false;
+  }
+  mCourse.emplace(mRoute->repeat, mRoute->mayRepeat(), mRoute->maxAttempts);
+  mContext.allowance(mService->name).request(mBegan);
+  mFingerprint = mix(hash64(mAccount),
+                     mix(hash64(mRequest.target()), hash64(mRequest.body())));
+  if (mContext.quarantine.suspicion(mFingerprint, mBegan) ==
+      policy::Suspicion::Refused) {
+    refuse(503, { .error = Error::Quarantined, .retryAfter = seconds(5) });
+    return false;
+  }
+  mDemand.isGeneration = mService->runtime.has_value();
+  mDemand.promptTokens = static_cast<double>(
+    numberOf(mRequest[mContext.names.promptTokens]).value_or(0));
+  if (const auto last = numberOf(mRequest[mContext.names.lastEventId])) {
+    mSequence = EventSequence(static_cast<std::uint64_t>(*last));
+  }
+  if (mDemand.isGeneration && isStream()) {
+    const auto wait = mContext.admissions[mService->name].refusal(
+      mContext.streams[mService->name],
+      mRoute->gapObjective,
+      emptyPass(),
+      mBegan);
+    if (wait) {
+      refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
+      return false;
+    }
+  }
+  if (isStream()) {
+    mCountsStream = true;
+    ++mContext.streams[mService->name];
+  }
+  startTimer(time, false);
+  return true;
+}
+
+} // namespace laburnum::gateway
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -69,12 +69,19 @@
                      });
   log(LogLevel::Info,
       "started",
-      { { "callers", mSettings.callers.text() },
-        { "operators", mSettings.operators.text() },
+      { { "callers", callers().text() },
+        { "operators", mOperators->address().text() },
         { "failure_domain", mSettings.failureDomain } });
   accept();
 }
 
+contract::Address
+Gateway::callers() const
+{
+  const auto bound = mAcceptor.local_endpoint();
+  return { .host = bound.address().to_string(), .port = bound.port() };
+}
+
 void
 Gateway::accept()
 {
--- /dev/null
+++ b/gateway/tests/unit_gateway.cpp
@@ -0,0 +1,391 @@
+#include "laburnum/gateway/gateway.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::gateway;
+
+namespace {
+
+namespace bhttp = http::beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using Socket = CallerConnection::Socket;
+
+/// A backend server that gives scripted bytes, one text a request, and keeps
+/// what it was sent.
+class ScriptedServer
+{
+public:
+  ScriptedServer(Loop& aLoop, std::vector<std::string> aTexts)
+    : mLoop(aLoop)
+    , mTexts(std::move(aTexts))
+    , mAcceptor(aLoop.context(),
+                tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  {
+    mLoop.spawn(accept());
+  }
+
+  ServerRecord record(std::string aId) const
+  {
+    return { .id = std::move(aId),
+             .service = "s",
+             .address = { "127.0.0.1", mAcceptor.local_endpoint().port() },
+             .bornMs = 1 };
+  }
+
+  std::vector<http::Request> requests;
+  bool sawClose = false;
+
+private:
+  asio::awaitable<void> accept()
+  {
+    for (;;) {
+      Socket socket = co_await mAcceptor.async_accept(use_awaitable);
+      mLoop.spawn(serve(std::move(socket)));
+    }
+  }
+
+  asio::awaitable<void> serve(Socket aSocket)
+  {
+    http::beast::flat_buffer buffer;
+    for (;;) {
+      http::Request request;
+      boost::system::error_code error;
+      co_await bhttp::async_read(
+        aSocket, buffer, request, redirect_error(use_awaitable, error));
+      if (error) {
+        sawClose = true;
+        co_return;
+      }
+      std::string text = mTexts[std::min(requests.size(), mTexts.size() - 1)];
+      requests.push_back(request);
+      const std::size_t at = text.find("$ID");
+      if (at != std::string::npos) {
+        text.replace(at, 3, std::string(request["Laburnum-Attempt"]));
+      }
+      co_await asio::async_write(
+        aSocket, asio::buffer(text), redirect_error(use_awaitable, error));
+      if (text.find("$HANG") == std::string::npos &&
+          text.find("Content-Length") == std::string::npos) {
+        co_return;
+      }
+    }
+  }
+
+  Loop& mLoop;
+  std::vector<std::string> mTexts;
+  asio::basic_socket_acceptor<tcp, http::Executor> mAcceptor;
+};
+
+std::string
+answer(unsigned aStatus, std::string_view aFields, std::string_view aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) +
+         " X\r\nLaburnum-Attempt: $ID\r\n" + std::string(aFields) +
+         "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         std::string(aBody);
+}
+
+std::string
+chunk(std::string_view aBytes)
+{
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", aBytes.size());
+  return size + std::string(aBytes) + "\r\n";
+}
+
+const std::string kSigned = "Laburnum-Signature: s\r\n";
+const std::string kEventsHead =
+  "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\nLaburnum-Signature: s\r\n"
+  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A gateway before scripted servers, with one route of each kind.
+struct GatewayFixture
+{
+  explicit GatewayFixture(std::vector<std::vector<std::string>> aServers)
+  {
+    std::vector<ServerRecord> records;
+    for (auto& texts : aServers) {
+      servers.push_back(
+        std::make_unique<ScriptedServer>(loop, std::move(texts)));
+      records.push_back(
+        servers.back()->record("i-" + std::to_string(servers.size())));
+    }
+    Configuration configuration{ .version = 1 };
+    const auto route = [](std::string aPrefix, Repeat aRepeat) {
+      return Route{ .name = aPrefix,
+                    .host = "h",
+                    .pathPrefix = aPrefix,
+                    .targets = { { .service = "s" } },
+                    .repeat = aRepeat,
+                    .timeout = seconds(5),
+                    .latencyObjective = seconds(2),
+                    .maxAttempts = aRepeat == Repeat::NonIdempotent ? 1 : 2,
+                    .isPublic = aPrefix != "/key/",
+                    .isResumable = true };
+    };
+    configuration.routes = { route("/safe/", Repeat::Idempotent),
+                             route("/once/", Repeat::NonIdempotent),
+                             route("/events/", Repeat::Stream),
+                             route("/key/", Repeat::NonIdempotent) };
+    configuration.services["s"] = { .name = "s" };
+    configuration.hasAccounts = true;
+    configuration.accountsByKey["good"] = { .name = "account" };
+    gateway.start();
+    gateway.applyConfiguration(std::move(configuration));
+    gateway.replaceServers(records);
+    // Repeats need requests before them in the window.
+    for (int i = 0; i < 20; ++i) {
+      gateway.context().allowance("s").request(loop.now());
+    }
+  }
+
+  /// Sends a text on a new connection and returns all bytes until its end.
+  std::string exchange(std::string aText)
+  {
+    std::string got;
+    loop.spawn(talk(std::move(aText), got));
+    loop.run();
+    loop.context().restart();
+    return got;
+  }
+
+  std::string request(std::string_view aMethod,
+                      std::string_view aPath,
+                      std::string_view aFields = "",
+                      std::string_view aBody = "")
+  {
+    return exchange(std::string(aMethod) + " " + std::string(aPath) +
+                    " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                    "Laburnum-Attempt: a1\r\n" +
+                    std::string(aFields) +
+                    "Content-Length: " + std::to_string(aBody.size()) +
+                    "\r\n\r\n" + std::string(aBody));
+  }
+
+  asio::awaitable<void> talk(std::string aText, std::string& aGot)
+  {
+    Socket socket(loop.context());
+    co_await socket.async_connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), gateway.callers().port),
+      use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(aText), use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_read(
+      socket, asio::dynamic_buffer(aGot), redirect_error(use_awaitable, error));
+    loop.stop();
+  }
+
+  std::size_t runs() const
+  {
+    std::size_t sum = 0;
+    for (const auto& server : servers) {
+      sum += server->requests.size();
+    }
+    return sum;
+  }
+
+  Loop loop;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  contract::Settings settings{ .instance = "g", .failureDomain = "a" };
+  Gateway gateway{ loop, settings, HeaderNames{} };
+};
+
+unsigned
+statusOf(const std::string& aAnswer)
+{
+  return aAnswer.size() < 12
+           ? 0
+           : static_cast<unsigned>(std::stoul(aAnswer.substr(9, 3)));
+}
+
+} // namespace
+
+TEST_CASE("gateway_faultyServer_tellsTheCallerTheTruth")
+{
+  struct Row
+  {
+    const char* name;
+    std::string text;
+    unsigned once;        ///< Status to the caller of what may run once only.
+    std::size_t safeRuns; ///< Servers that an idempotent request reaches.
+  };
+  const std::vector<Row> rows = {
+    { "whole", answer(200, kSigned, "body"), 200, 1 },
+    { "own failure", answer(500, kSigned, "x"), 500, 2 },
+    { "not executed", answer(503, "Laburnum-Not-Executed: 1\r\n", ""), 503, 2 },
+    { "misdirected", answer(421, "", ""), 503, 2 },
+    { "503 without its word", answer(503, kSigned, ""), 502, 2 },
+    { "429 without its word", answer(429, kSigned, ""), 502, 2 },
+    { "success without signature", answer(200, "", "body"), 502, 2 },
+    { "other request's answer",
+      "HTTP/1.1 200 X\r\nLaburnum-Attempt: other\r\n" + kSigned +
+        "Content-Length: 1\r\n\r\nx",
+      502,
+      2 },
+    { "body cut short",
+      "HTTP/1.1 200 X\r\nLaburnum-Attempt: $ID\r\n" + kSigned +
+        "Content-length: 10\r\n\r\nx",
+      502,
+      2 },
+    { "no answer", "", 502, 2 },
+    { "no protocol", "garbage garbage\r\n\r\n", 502, 2 },
+    { "no length, ended by the close",
+      "HTTP/1.1 200 X\r\nLaburnum-Attempt: $ID\r\n" + kSigned + "\r\nwhole",
+      200,
+      1 },
+    { "interim answer before",
+      "HTTP/1.1 103 X\r\n\r\n" + answer(200, kSigned, "body"),
+      200,
+      1 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    GatewayFixture once({ { row.text }, { row.text } });
+    const std::string got = once.request("POST", "/once/x", "", "work");
+    CHECK(statusOf(got) == row.once);
+    CHECK(once.runs() == 1);
+    if (row.once == 503) {
+      CHECK(got.find("Retry-After") != std::string::npos);
+    }
+    GatewayFixture safe({ { row.text }, { row.text } });
+    safe.request("GET", "/safe/x");
+    CHECK(safe.runs() == row.safeRuns);
+  }
+}
+
+TEST_CASE("gateway_request_reachesTheServerUnchanged")
+{
+  GatewayFixture fixture({ { answer(201, kSigned, "made") } });
+  const std::string got =
+    fixture.request("POST",
+                    "/key/deep%20path?q=1",
+                    "Authorization: Bearer good\r\nX-Own: 7\r\n"
+                    "Laburnum-Account: forged\r\nLaburnum-Deadline-Ms: 900\r\n",
+                    "bytes");
+  CHECK(statusOf(got) == 201);
+  CHECK(got.ends_with("made"));
+  REQUIRE(fixture.runs() == 1);
+  const http::Request& seen = fixture.servers[0]->requests[0];
+  CHECK(seen.target() == "/key/deep%20path?q=1");
+  CHECK(seen.body() == "bytes");
+  CHECK(seen["X-Own"] == "7");
+  CHECK(seen["Laburnum-Account"] == "account");
+  CHECK(seen["Laburnum-Expect-Instance"] == "i-1");
+  CHECK(seen.count(bhttp::field::authorization) == 0);
+  CHECK(std::stoi(std::string(seen["Laburnum-Deadline-Ms"])) <= 900);
+}
+
+TEST_CASE("gateway_requestNotAllowed_reachesNoServer")
+{
+  GatewayFixture fixture({ { answer(200, kSigned, "x") } });
+  CHECK(statusOf(fixture.request("GET", "/none")) == 404);
+  CHECK(statusOf(fixture.request("POST", "/key/x")) == 401);
+  CHECK(statusOf(fixture.request(
+          "POST", "/key/x", "Authorization: Bearer bad\r\n")) == 401);
+  CHECK(fixture.runs() == 0);
+}
+
+TEST_CASE("gateway_requestSmuggled_reachesNoServer")
+{
+  const std::vector<std::string> texts = {
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Content-Length: 5\r\n\r\nabcde",
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /once/x HTTP/1.1\r\nHost : h\r\nContent-Length: 0\r\n\r\n",
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+    "POST /once/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "zz\r\nabc\r\n0\r\n\r\n",
+  };
+  for (const std::string& text : texts) {
+    CAPTURE(text);
+    GatewayFixture fixture({ { answer(200, kSigned, "x") } });
+    fixture.exchange(text);
+    CHECK(fixture.runs() == 0);
+  }
+}
+
+TEST_CASE("gateway_streamBreaksInAnEvent_goesOnAtAnotherServer")
+{
+  const std::string first =
+    kEventsHead + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  const std::string second =
+    kEventsHead + chunk("id: 3\ndata: c\n\nid: 4\ndata: d\n\n") + "0\r\n\r\n";
+  GatewayFixture fixture({ { first, second }, { first, second } });
+  // Whichever server comes first breaks; the script is by requests of each,
+  // so let the second server be at its second text.
+  fixture.servers[1]->requests.emplace_back();
+  const std::string got = fixture.request("POST", "/events/x", "", "prompt");
+  CHECK(got.find("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") != std::string::npos);
+  CHECK(got.find("da\r\n") == std::string::npos);
+  CHECK(got.ends_with("0\r\n\r\n"));
+  const auto& resumed = fixture.servers[1]->requests.back();
+  CHECK(resumed["Last-Event-Id"] == "2");
+}
+
+TEST_CASE("gateway_streamRepeatsAnEvent_isBrokenOff")
+{
+  const std::string text =
+    kEventsHead + chunk("id: 1\ndata: a\n\nid: 1\ndata: a\n\n") + "0\r\n\r\n";
+  GatewayFixture fixture({ { text }, { text } });
+  const std::string got = fixture.request("POST", "/events/x");
+  CHECK(!got.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("gateway_callerLeaves_closesAtTheServer")
+{
+  GatewayFixture fixture({ { "HTTP/1.1 200 $HANG\r\n" } });
+  fixture.loop.spawn([](GatewayFixture& aFixture) -> asio::awaitable<void> {
+    {
+      Socket socket(aFixture.loop.context());
+      co_await socket.async_connect(
+        tcp::endpoint(asio::ip::address_v4::loopback(),
+                      aFixture.gateway.callers().port),
+        use_awaitable);
+      co_await asio::async_write(
+        socket,
+        asio::buffer(std::string("POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: 0\r\n\r\n")),
+        use_awaitable);
+      while (aFixture.runs() == 0) {
+        co_await aFixture.loop.sleep(milliseconds(1));
+      }
+    }
+    while (!aFixture.servers[0]->sawClose) {
+      co_await aFixture.loop.sleep(milliseconds(1));
+    }
+    aFixture.loop.stop();
+  }(fixture));
+  fixture.loop.run();
+  CHECK(fixture.servers[0]->sawClose);
+}
+
+TEST_CASE("gateway_stops_answersWithCloseAndEndsTheLoop")
+{
+  GatewayFixture fixture({ { answer(200, kSigned, "x") } });
+  fixture.gateway.stopGracefully();
+  CHECK(!fixture.gateway.isReady());
+  const std::string got = fixture.exchange(
+    "GET /safe/x HTTP/1.1\r\nHost: h\r\nLaburnum-Attempt: a\r\n\r\n");
+  CHECK(statusOf(got) == 200);
+  CHECK(got.find("Connection: close") != std::string::npos);
+  fixture.loop.run();
+  SUCCEED("the loop ended by itself");
+}
+
+TEST_CASE("gateway_olderConfiguration_isNotTakenIntoForce")
+{
+  GatewayFixture fixture({ { answer(200, kSigned, "x") } });
+  CHECK(fixture.gateway.applyConfiguration({ .version = 5 }));
+  CHECK(!fixture.gateway.applyConfiguration({ .version = 4 }));
+  CHECK(!fixture.gateway.applyConfiguration({ .version = 5 }));
+  CHECK(fixture.gateway.context().configuration->version == 5);
+}
--- a/kernel/include/laburnum/kernel/log.hpp
+++ b/kernel/include/laburnum/kernel/log.hpp
@@ -23,8 +23,9 @@
     { LogLevel::Error, "error" } }
 };
 
-/// Sets up log4cplus with one JSON line an event on standard error and no
-/// threads of its own. Pre: called once, before `log`. Thread safety: main.
+/// Sets up log4cplus with one JSON line an event on standard output, bounded
+/// and never waiting for a reader, and no threads of its own. Pre: called once,
+/// before `log`. Thread safety: main.
 void
 startLog(std::string_view aInstance, LogLevel aLevel);
 
--- a/kernel/src/log.cpp
+++ b/kernel/src/log.cpp
@@ -1,18 +1,46 @@
 #include "laburnum/kernel/log.hpp"
 
+#include "laburnum/kernel/bounded_writer.hpp"
+
 #include <boost/json/serialize.hpp>
 #include <chrono>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <memory>
 #include <string>
+#include <unistd.h>
 
 namespace laburnum {
 namespace {
 
+/// Writes each event's line to standard output, bounded and never waiting.
+class LineAppender final : public log4cplus::Appender
+{
+public:
+  LineAppender()
+    : mWriter(STDOUT_FILENO)
+  {
+  }
+  ~LineAppender() override { destructorImpl(); }
+
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    const auto now =
+      std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    mWriter.write(aEvent.getMessage(), now);
+  }
+
+private:
+  BoundedWriter mWriter;
+};
+
 struct LogState
 {
   std::unique_ptr<log4cplus::Initializer> initializer;
@@ -54,10 +82,7 @@
   log4cplus::setThreadPoolSize(0);
   log.instance = aInstance;
   log.level = aLevel;
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
-  appender->setLayout(
-    std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+  log4cplus::SharedAppenderPtr appender(new LineAppender());
   log.logger = log4cplus::Logger::getRoot();
   log.logger.addAppender(appender);
   log.logger.setLogLevel(toLog4cplus(aLevel));
--- a/kernel/tests/unit_kernel.cpp
+++ b/kernel/tests/unit_kernel.cpp
@@ -1,3 +1,4 @@
+#include "laburnum/kernel/bounded_writer.hpp"
 #include "laburnum/kernel/error.hpp"
 #include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/metrics.hpp"
@@ -5,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <set>
+#include <unistd.h>
 
 using namespace laburnum;
 
@@ -60,3 +62,41 @@
   CHECK(text.find("requests_total 2\n") != std::string::npos);
   CHECK(text.find("latency_seconds_count 100\n") != std::string::npos);
 }
+
+TEST_CASE("BoundedWriter, nobody reads the pipe, leaves lines out and goes on")
+{
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  BoundedWriter writer(ends[1], { .linesPerSecond = 1e9, .burst = 1e9 });
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 500; ++i) {
+    writer.write(line, Instant{});
+  }
+  CHECK(writer.leftOut() > 400);
+  std::string read(64 * 1024, 0);
+  REQUIRE(::read(ends[0], read.data(), read.size()) > 0);
+  const auto before = writer.leftOut();
+  CHECK(writer.write("{}", Instant{}));
+  CHECK(writer.leftOut() == before);
+  const auto got = ::read(ends[0], read.data(), read.size());
+  REQUIRE(got > 0);
+  CHECK(read.substr(0, static_cast<std::size_t>(got)).find("lines_left_out") !=
+        std::string::npos);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST_CASE("BoundedWriter, more lines than the rate, keeps to it")
+{
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  BoundedWriter writer(ends[1], { .linesPerSecond = 10, .burst = 5 });
+  int written = 0;
+  for (int i = 0; i < 100; ++i) {
+    written += writer.write("{}", Instant{ seconds(1) });
+  }
+  CHECK(written == 5);
+  CHECK(writer.write("{}", Instant{ seconds(2) }));
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
