--- a/agent/src/group_maps.cpp
+++ b/agent/src/group_maps.cpp
@@ -20,9 +20,9 @@
 
 /// A map that goes on unchanged for the time of a takeover costs little, so
 /// the term is long and the platform has few renewals of many groups.
-constexpr platform::LeaseOptions kLease{ .term = seconds(18),
-                                         .margin = seconds(4),
-                                         .renew = seconds(6) };
+constexpr coordination::LeaseOptions kLease{ .term = seconds(18),
+                                             .margin = seconds(4),
+                                             .renew = seconds(6) };
 
 constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
 
--- a/bench/include/laburnum/bench/claim_world.hpp
+++ b/bench/include/laburnum/bench/claim_world.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "laburnum/bench/event_queue.hpp"
-#include "laburnum/platform/claim_shard.hpp"
+#include "laburnum/coordination/claim_shard.hpp"
 #include "laburnum/standins/platform_core.hpp"
 
 #include <cstdint>
@@ -49,7 +49,7 @@
   struct Shard
   {
     std::string name;
-    platform::ClaimShard machine;
+    coordination::ClaimShard machine;
   };
   struct Waiting
   {
@@ -62,13 +62,15 @@
 
   void book(std::string aKey, std::size_t aEntry);
   void submit(std::size_t aOwner,
-              platform::ClaimOperation aOperation,
+              coordination::ClaimOperation aOperation,
               const std::string& aKey);
   void run(std::size_t aEntry,
            Shard& aShard,
-           std::vector<platform::ClaimAction> aActions);
-  void write(std::size_t aEntry, Shard& aShard, platform::WriteShard aWrite);
-  void answered(const platform::AnswerClaim& aAnswer);
+           std::vector<coordination::ClaimAction> aActions);
+  void write(std::size_t aEntry,
+             Shard& aShard,
+             coordination::WriteShard aWrite);
+  void answered(const coordination::AnswerClaim& aAnswer);
   std::size_t ownerOf(const std::string& aName, std::size_t aEntry) const;
   std::string shardOf(const std::string& aKey) const;
   Duration hop();
--- a/bench/include/laburnum/bench/duty_world.hpp
+++ b/bench/include/laburnum/bench/duty_world.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "laburnum/bench/event_queue.hpp"
+#include "laburnum/coordination/lease.hpp"
 #include "laburnum/experts/order_gate.hpp"
-#include "laburnum/platform/lease.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -18,7 +18,7 @@
   bool gate = true;          ///< Off: agents pass every order.
   bool engineChecks = false; ///< The engine refuses old numbers itself.
   bool killHolder = false;   ///< The holder dies once, for good.
-  platform::LeaseOptions lease;
+  coordination::LeaseOptions lease;
 };
 
 struct DutyCounts
@@ -39,13 +39,13 @@
 private:
   struct Candidate
   {
-    std::unique_ptr<platform::Lease> lease;
+    std::unique_ptr<coordination::Lease> lease;
     Instant pausedUntil{};
     bool dead = false;
   };
 
   void tick(std::size_t aIndex);
-  void call(std::size_t aIndex, const platform::LeaseAction& aAction);
+  void call(std::size_t aIndex, const coordination::LeaseAction& aAction);
   void order(std::size_t aIndex);
   void reachAgent(std::uint64_t aFence);
   void apply(std::uint64_t aFence);
@@ -58,7 +58,7 @@
   EventQueue mQueue;
   DutyOptions mOptions;
   std::vector<Candidate> mCandidates;
-  platform::LeaseRecord mRecord;
+  coordination::LeaseRecord mRecord;
   std::uint64_t mVersion = 0;
   bool mOutage = false;
   std::unique_ptr<experts::OrderGate> mGate;
--- a/bench/include/laburnum/bench/keyed_world.hpp
+++ b/bench/include/laburnum/bench/keyed_world.hpp
@@ -2,7 +2,7 @@
 
 #include "laburnum/agent/answer_stream.hpp"
 #include "laburnum/bench/event_queue.hpp"
-#include "laburnum/platform/claim_shard.hpp"
+#include "laburnum/coordination/claim_shard.hpp"
 #include "laburnum/policy/attempt_table.hpp"
 #include "laburnum/policy/request_machine.hpp"
 #include "laburnum/standins/platform_core.hpp"
@@ -51,14 +51,14 @@
   KeyedCounts run();
 
 private:
-  using AnswerHandler = std::function<void(const platform::AnswerClaim&)>;
+  using AnswerHandler = std::function<void(const coordination::AnswerClaim&)>;
 
   struct Entry
   {
     std::uint64_t incarnation = 0;
     std::uint64_t attempts = 0;
     Instant pausedUntil{};
-    std::shared_ptr<platform::ClaimShard> shard;
+    std::shared_ptr<coordination::ClaimShard> shard;
     std::map<std::uint64_t, AnswerHandler> waiting; ///< By token.
   };
   struct Agent
@@ -78,7 +78,7 @@
     std::uint64_t nonce = 0;
     Instant end{};
     std::unique_ptr<policy::RequestMachine> machine;
-    platform::ClaimedAttempt claimed;
+    coordination::ClaimedAttempt claimed;
     policy::Routed routed;
     std::set<policy::AttemptId> own; ///< Attempts dispatched or adopted.
     std::string body;
@@ -103,10 +103,11 @@
   void book(const std::string& aKey, std::size_t aEntry);
   void take(const RequestPtr& aRequest);
   void claimAnswered(const RequestPtr& aRequest,
-                     const platform::AnswerClaim& aAnswer);
+                     const coordination::AnswerClaim& aAnswer);
   void takeLater(const RequestPtr& aRequest);
-  void takeOver(const RequestPtr& aRequest, const platform::Claim& aClaim);
-  bool holderGone(const RequestPtr& aRequest, const platform::Claim& aClaim);
+  void takeOver(const RequestPtr& aRequest, const coordination::Claim& aClaim);
+  bool holderGone(const RequestPtr& aRequest,
+                  const coordination::Claim& aClaim);
   void begin(const RequestPtr& aRequest, const policy::RequestEvent& aFirst);
   void apply(const RequestPtr& aRequest, const policy::RequestEvent& aEvent);
   void choose(const RequestPtr& aRequest,
@@ -116,19 +117,19 @@
   void ask(const RequestPtr& aRequest, const policy::AskAfter& aAsk);
   void cancel(const RequestPtr& aRequest, const policy::CancelAttempt& aCancel);
   void ended(const RequestPtr& aRequest, Verdict aVerdict);
-  platform::ClaimedAttempt claimOf(std::size_t aAgent,
-                                   policy::AttemptId aAttempt) const;
+  coordination::ClaimedAttempt claimOf(std::size_t aAgent,
+                                       policy::AttemptId aAttempt) const;
 
   // The platform's part.
 
   void submit(std::size_t aEntry,
-              platform::ClaimOperation aOperation,
+              coordination::ClaimOperation aOperation,
               AnswerHandler aHandler);
-  void run(std::size_t aEntry, std::vector<platform::ClaimAction> aActions);
+  void run(std::size_t aEntry, std::vector<coordination::ClaimAction> aActions);
   void call(std::size_t aEntry,
             std::function<bool()> aEffect,
-            std::function<void(platform::ClaimShard&)> aReply,
-            std::function<void(platform::ClaimShard&)> aLost);
+            std::function<void(coordination::ClaimShard&)> aReply,
+            std::function<void(coordination::ClaimShard&)> aLost);
 
   // The agent's part.
 
--- a/bench/src/claim_world.cpp
+++ b/bench/src/claim_world.cpp
@@ -54,14 +54,14 @@
                       .isTake = true };
   ++mCounts.bookings;
   submit(ownerOf(shardOf(aKey), aEntry),
-         platform::TakeClaim{
+         coordination::TakeClaim{
            .token = token, .key = aKey, .nonce = nonce, .requestHash = 1 },
          aKey);
 }
 
 void
 ClaimWorld::submit(std::size_t aOwner,
-                   platform::ClaimOperation aOperation,
+                   coordination::ClaimOperation aOperation,
                    const std::string& aKey)
 {
   const std::string name = shardOf(aKey);
@@ -81,12 +81,12 @@
 void
 ClaimWorld::run(std::size_t aEntry,
                 Shard& aShard,
-                std::vector<platform::ClaimAction> aActions)
+                std::vector<coordination::ClaimAction> aActions)
 {
   for (auto& action : aActions) {
-    if (auto* write = std::get_if<platform::WriteShard>(&action)) {
+    if (auto* write = std::get_if<coordination::WriteShard>(&action)) {
       this->write(aEntry, aShard, std::move(*write));
-    } else if (std::holds_alternative<platform::ReadShard>(action)) {
+    } else if (std::holds_alternative<coordination::ReadShard>(action)) {
       ++mCounts.calls;
       mQueue.after(callTime(), [this, aEntry, &aShard] {
         const contract::Object* object = mPlatform.read("claim", aShard.name);
@@ -97,7 +97,7 @@
               : aShard.machine.readBack(object->version, object->value));
       });
     } else {
-      const auto answer = std::get<platform::AnswerClaim>(action);
+      const auto answer = std::get<coordination::AnswerClaim>(action);
       mQueue.after(hop(), [this, answer] { answered(answer); });
     }
   }
@@ -106,7 +106,7 @@
 void
 ClaimWorld::write(std::size_t aEntry,
                   Shard& aShard,
-                  platform::WriteShard aWrite)
+                  coordination::WriteShard aWrite)
 {
   if (!mPlatform.admit(true, mQueue.now())) {
     // Over the platform's rate: wait a little and send again.
@@ -143,7 +143,7 @@
 }
 
 void
-ClaimWorld::answered(const platform::AnswerClaim& aAnswer)
+ClaimWorld::answered(const coordination::AnswerClaim& aAnswer)
 {
   const auto found = mWaiting.find(aAnswer.token);
   if (found == mWaiting.end()) {
@@ -155,10 +155,10 @@
     return;
   }
   mCounts.latencies.push_back(toSeconds(mQueue.now() - waiting.since));
-  if (aAnswer.status == platform::ClaimStatus::Unavailable) {
+  if (aAnswer.status == coordination::ClaimStatus::Unavailable) {
     ++mCounts.unavailable;
   }
-  if (aAnswer.status != platform::ClaimStatus::Granted) {
+  if (aAnswer.status != coordination::ClaimStatus::Granted) {
     return;
   }
   ++mCounts.granted;
@@ -169,7 +169,7 @@
     mWaiting[token] = waiting;
     mWaiting[token].isTake = false;
     submit(ownerOf(shardOf(waiting.key), waiting.entry),
-           platform::RecordOutcome{
+           coordination::RecordOutcome{
              .token = token,
              .key = waiting.key,
              .nonce = waiting.nonce,
--- a/bench/src/duty_world.cpp
+++ b/bench/src/duty_world.cpp
@@ -15,7 +15,7 @@
   , mGate(std::make_unique<experts::OrderGate>())
 {
   for (std::size_t i = 0; i < mCandidates.size(); ++i) {
-    mCandidates[i].lease = std::make_unique<platform::Lease>(
+    mCandidates[i].lease = std::make_unique<coordination::Lease>(
       "daemon-" + std::to_string(i), mOptions.lease);
   }
 }
@@ -69,12 +69,12 @@
 }
 
 void
-DutyWorld::call(std::size_t aIndex, const platform::LeaseAction& aAction)
+DutyWorld::call(std::size_t aIndex, const coordination::LeaseAction& aAction)
 {
   const Instant sentAt = mQueue.now();
   const Duration there = delay();
   mQueue.after(there, [this, aIndex, aAction, sentAt] {
-    platform::Lease* lease = mCandidates[aIndex].lease.get();
+    coordination::Lease* lease = mCandidates[aIndex].lease.get();
     const bool lost =
       mOutage || (mOptions.faults && mQueue.random().chance(0.05));
     if (mOutage) {
@@ -84,7 +84,7 @@
       return;
     }
     std::function<void()> reply;
-    if (const auto* write = std::get_if<platform::WriteLease>(&aAction)) {
+    if (const auto* write = std::get_if<coordination::WriteLease>(&aAction)) {
       const bool met = write->expected == mVersion;
       if (met) {
         mRecord = write->record;
--- a/bench/src/keyed_world.cpp
+++ b/bench/src/keyed_world.cpp
@@ -1,6 +1,6 @@
 #include "laburnum/bench/keyed_world.hpp"
 
-#include "laburnum/platform/keyed_claim.hpp"
+#include "laburnum/coordination/keyed_claim.hpp"
 
 #include <algorithm>
 
@@ -59,7 +59,7 @@
 KeyedWorld::restartEntry(std::size_t aEntry)
 {
   mEntries[aEntry] = { .incarnation = ++mNext,
-                       .shard = std::make_shared<platform::ClaimShard>() };
+                       .shard = std::make_shared<coordination::ClaimShard>() };
 }
 
 void
@@ -160,7 +160,7 @@
   atEntry(request, [this, request] { take(request); });
 }
 
-platform::ClaimedAttempt
+coordination::ClaimedAttempt
 KeyedWorld::claimOf(std::size_t aAgent, policy::AttemptId aAttempt) const
 {
   return { .agent = std::to_string(aAgent),
@@ -179,12 +179,12 @@
                                     .number = ++entry.attempts } };
   aRequest->claimed = claimOf(agent, aRequest->routed.attempt);
   submit(aRequest->entry,
-         platform::TakeClaim{ .key = aRequest->key,
-                              .nonce = aRequest->nonce,
-                              .requestHash = kRequestHash,
-                              .holder = aRequest->entryRun,
-                              .attempt = aRequest->claimed },
-         [this, aRequest](const platform::AnswerClaim& aAnswer) {
+         coordination::TakeClaim{ .key = aRequest->key,
+                                  .nonce = aRequest->nonce,
+                                  .requestHash = kRequestHash,
+                                  .holder = aRequest->entryRun,
+                                  .attempt = aRequest->claimed },
+         [this, aRequest](const coordination::AnswerClaim& aAnswer) {
            atEntry(aRequest, [this, aRequest, aAnswer] {
              claimAnswered(aRequest, aAnswer);
            });
@@ -193,7 +193,7 @@
 
 bool
 KeyedWorld::holderGone(const RequestPtr& aRequest,
-                       const platform::Claim& aClaim)
+                       const coordination::Claim& aClaim)
 {
   if (!mOptions.adopts || aClaim.holder == aRequest->entryRun) {
     return false;
@@ -207,25 +207,25 @@
 
 void
 KeyedWorld::claimAnswered(const RequestPtr& aRequest,
-                          const platform::AnswerClaim& aAnswer)
+                          const coordination::AnswerClaim& aAnswer)
 {
-  const bool gone = aAnswer.status == platform::ClaimStatus::Held &&
+  const bool gone = aAnswer.status == coordination::ClaimStatus::Held &&
                     holderGone(aRequest, aAnswer.claim);
-  switch (platform::keyedStep(aAnswer, kRequestHash, gone)) {
-    case platform::KeyedStep::Run:
+  switch (coordination::keyedStep(aAnswer, kRequestHash, gone)) {
+    case coordination::KeyedStep::Run:
       begin(aRequest, policy::Begin{});
       return;
-    case platform::KeyedStep::Refuse:
+    case coordination::KeyedStep::Refuse:
       submit(aRequest->entry,
-             platform::ReleaseClaim{ .key = aRequest->key,
-                                     .nonce = aRequest->nonce },
-             [](const platform::AnswerClaim&) {});
+             coordination::ReleaseClaim{ .key = aRequest->key,
+                                         .nonce = aRequest->nonce },
+             [](const coordination::AnswerClaim&) {});
       ended(aRequest, Verdict::NotRun);
       return;
-    case platform::KeyedStep::Adopt:
+    case coordination::KeyedStep::Adopt:
       takeOver(aRequest, aAnswer.claim);
       return;
-    case platform::KeyedStep::Answer:
+    case coordination::KeyedStep::Answer:
       aRequest->told = true;
       aRequest->answered = aAnswer.claim.outcome->whole;
       mCounts.wrongAnswer +=
@@ -234,7 +234,7 @@
           ? 1
           : 0;
       return;
-    case platform::KeyedStep::Wait:
+    case coordination::KeyedStep::Wait:
       break;
   }
   takeLater(aRequest);
@@ -256,22 +256,23 @@
 }
 
 void
-KeyedWorld::takeOver(const RequestPtr& aRequest, const platform::Claim& aClaim)
+KeyedWorld::takeOver(const RequestPtr& aRequest,
+                     const coordination::Claim& aClaim)
 {
   submit(
     aRequest->entry,
-    platform::TakeOverClaim{ .key = aRequest->key,
-                             .nonce = aRequest->nonce,
-                             .from = aClaim.nonce,
-                             .holder = aRequest->entryRun,
-                             .attempt = aClaim.attempt },
-    [this, aRequest, aClaim](const platform::AnswerClaim& aAnswer) {
+    coordination::TakeOverClaim{ .key = aRequest->key,
+                                 .nonce = aRequest->nonce,
+                                 .from = aClaim.nonce,
+                                 .holder = aRequest->entryRun,
+                                 .attempt = aClaim.attempt },
+    [this, aRequest, aClaim](const coordination::AnswerClaim& aAnswer) {
       atEntry(aRequest, [this, aRequest, aClaim, aAnswer] {
-        if (aAnswer.status == platform::ClaimStatus::Held) {
+        if (aAnswer.status == coordination::ClaimStatus::Held) {
           takeLater(aRequest);
           return;
         }
-        if (aAnswer.status == platform::ClaimStatus::Unavailable) {
+        if (aAnswer.status == coordination::ClaimStatus::Unavailable) {
           aRequest->told = true;
           return;
         }
@@ -378,32 +379,34 @@
 void
 KeyedWorld::send(const RequestPtr& aRequest, const policy::SendAttempt& aSend)
 {
-  const platform::ClaimedAttempt next = claimOf(aSend.server, aSend.attempt);
+  const coordination::ClaimedAttempt next =
+    claimOf(aSend.server, aSend.attempt);
   if (aRequest->claimed == next || !mOptions.namesAttempts) {
     dispatch(aRequest, aSend);
     return;
   }
-  submit(aRequest->entry,
-         platform::MoveClaim{
-           .key = aRequest->key, .nonce = aRequest->nonce, .attempt = next },
-         [this, aRequest, aSend, next](const platform::AnswerClaim& aAnswer) {
-           atEntry(aRequest, [this, aRequest, aSend, next, aAnswer] {
-             const auto& current = aRequest->machine->current();
-             if (!current || current->attempt != aSend.attempt) {
-               return;
-             }
-             if (aAnswer.status == platform::ClaimStatus::Granted &&
-                 claimOf(aSend.server, aSend.attempt) == next) {
-               aRequest->claimed = next;
-               dispatch(aRequest, aSend);
-               return;
-             }
-             apply(aRequest,
-                   policy::AttemptRejected{ .attempt = aSend.attempt,
-                                            .verdict = Verdict::NotRun,
-                                            .error = Error::ClaimUnavailable });
-           });
-         });
+  submit(
+    aRequest->entry,
+    coordination::MoveClaim{
+      .key = aRequest->key, .nonce = aRequest->nonce, .attempt = next },
+    [this, aRequest, aSend, next](const coordination::AnswerClaim& aAnswer) {
+      atEntry(aRequest, [this, aRequest, aSend, next, aAnswer] {
+        const auto& current = aRequest->machine->current();
+        if (!current || current->attempt != aSend.attempt) {
+          return;
+        }
+        if (aAnswer.status == coordination::ClaimStatus::Granted &&
+            claimOf(aSend.server, aSend.attempt) == next) {
+          aRequest->claimed = next;
+          dispatch(aRequest, aSend);
+          return;
+        }
+        apply(aRequest,
+              policy::AttemptRejected{ .attempt = aSend.attempt,
+                                       .verdict = Verdict::NotRun,
+                                       .error = Error::ClaimUnavailable });
+      });
+    });
 }
 
 void
@@ -511,29 +514,30 @@
   if (!aRequest->machine) {
     return;
   }
-  const auto ignore = [](const platform::AnswerClaim&) {};
+  const auto ignore = [](const coordination::AnswerClaim&) {};
   if (aVerdict == Verdict::NotRun) {
-    submit(
-      aRequest->entry,
-      platform::ReleaseClaim{ .key = aRequest->key, .nonce = aRequest->nonce },
-      ignore);
+    submit(aRequest->entry,
+           coordination::ReleaseClaim{ .key = aRequest->key,
+                                       .nonce = aRequest->nonce },
+           ignore);
     return;
   }
-  submit(aRequest->entry,
-         platform::RecordOutcome{ .key = aRequest->key,
-                                  .nonce = aRequest->nonce,
-                                  .outcome = { .status = 201,
-                                               .body = aRequest->body,
-                                               .verdict = aVerdict,
-                                               .whole = aRequest->answered } },
-         ignore);
+  submit(
+    aRequest->entry,
+    coordination::RecordOutcome{ .key = aRequest->key,
+                                 .nonce = aRequest->nonce,
+                                 .outcome = { .status = 201,
+                                              .body = aRequest->body,
+                                              .verdict = aVerdict,
+                                              .whole = aRequest->answered } },
+    ignore);
 }
 
 // The platform's part.
 
 void
 KeyedWorld::submit(std::size_t aEntry,
-                   platform::ClaimOperation aOperation,
+                   coordination::ClaimOperation aOperation,
                    AnswerHandler aHandler)
 {
   Entry& entry = mEntries[aEntry];
@@ -547,8 +551,8 @@
 void
 KeyedWorld::call(std::size_t aEntry,
                  std::function<bool()> aEffect,
-                 std::function<void(platform::ClaimShard&)> aReply,
-                 std::function<void(platform::ClaimShard&)> aLost)
+                 std::function<void(coordination::ClaimShard&)> aReply,
+                 std::function<void(coordination::ClaimShard&)> aLost)
 {
   const std::uint64_t run = mEntries[aEntry].incarnation;
   const bool effect = mOutUntil <= mQueue.now() || mQueue.random().chance(0.2);
@@ -568,17 +572,19 @@
 }
 
 void
-KeyedWorld::run(std::size_t aEntry, std::vector<platform::ClaimAction> aActions)
+KeyedWorld::run(std::size_t aEntry,
+                std::vector<coordination::ClaimAction> aActions)
 {
-  for (const platform::ClaimAction& action : aActions) {
-    if (const auto* answer = std::get_if<platform::AnswerClaim>(&action)) {
+  for (const coordination::ClaimAction& action : aActions) {
+    if (const auto* answer = std::get_if<coordination::AnswerClaim>(&action)) {
       const auto found = mEntries[aEntry].waiting.find(answer->token);
       if (found != mEntries[aEntry].waiting.end()) {
         const AnswerHandler handler = std::move(found->second);
         mEntries[aEntry].waiting.erase(found);
         handler(*answer);
       }
-    } else if (const auto* write = std::get_if<platform::WriteShard>(&action)) {
+    } else if (const auto* write =
+                 std::get_if<coordination::WriteShard>(&action)) {
       const auto result =
         std::make_shared<standins::PlatformCore::WriteResult>();
       call(
@@ -589,14 +595,14 @@
           *result = mPlatform.write(std::move(object), change.expected);
           return true;
         },
-        [this, aEntry, result](platform::ClaimShard& aShard) {
+        [this, aEntry, result](coordination::ClaimShard& aShard) {
           const auto& object = result->object;
           run(aEntry,
               result->written ? aShard.written(object->version)
                               : aShard.conflicted(object ? object->version : 0,
                                                   object ? object->value : ""));
         },
-        [this, aEntry](platform::ClaimShard& aShard) {
+        [this, aEntry](coordination::ClaimShard& aShard) {
           run(aEntry, aShard.replyLost());
         });
     } else {
@@ -608,10 +614,10 @@
           *read = object == nullptr ? contract::Object() : *object;
           return true;
         },
-        [this, aEntry, read](platform::ClaimShard& aShard) {
+        [this, aEntry, read](coordination::ClaimShard& aShard) {
           run(aEntry, aShard.readBack(read->version, read->value));
         },
-        [this, aEntry](platform::ClaimShard& aShard) {
+        [this, aEntry](coordination::ClaimShard& aShard) {
           run(aEntry, aShard.readFailed());
         });
     }
--- a/platform/include/laburnum/platform/claim_shard.hpp
+++ b/coordination/include/laburnum/coordination/claim_shard.hpp
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 
 /// The recorded answer to a request with an Idempotency-Key.
 struct RecordedOutcome
@@ -195,4 +195,4 @@
   std::map<std::string, Claim, std::less<>> mDraft;
 };
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/include/laburnum/platform/keyed_claim.hpp
+++ b/coordination/include/laburnum/coordination/keyed_claim.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "laburnum/platform/claim_shard.hpp"
+#include "laburnum/coordination/claim_shard.hpp"
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 
 /// What an entry does next with a request that has an Idempotency-Key.
 enum class KeyedStep : std::uint8_t
@@ -36,4 +36,4 @@
   return aHolderGone ? KeyedStep::Adopt : KeyedStep::Wait;
 }
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/include/laburnum/platform/lease.hpp
+++ b/coordination/include/laburnum/coordination/lease.hpp
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 
 struct LeaseOptions
 {
@@ -110,4 +110,4 @@
   bool mInFlight = false;
 };
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/include/laburnum/platform/object_client.hpp
+++ b/coordination/include/laburnum/coordination/object_client.hpp
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 
 /// The condition was met and the object has the version given by the platform.
 struct Written
@@ -94,4 +94,4 @@
 boost::json::object
 toJson(const contract::Object& aObject);
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/src/claim_shard.cpp
+++ b/coordination/src/claim_shard.cpp
@@ -1,11 +1,11 @@
-#include "laburnum/platform/claim_shard.hpp"
+#include "laburnum/coordination/claim_shard.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 namespace {
 
 namespace json = boost::json;
@@ -349,4 +349,4 @@
   });
 }
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/src/lease.cpp
+++ b/coordination/src/lease.cpp
@@ -1,10 +1,10 @@
-#include "laburnum/platform/lease.hpp"
+#include "laburnum/coordination/lease.hpp"
 
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 namespace {
 
 namespace msm = boost::msm;
@@ -188,4 +188,4 @@
   mKnown = false;
 }
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/src/object_client.cpp
+++ b/coordination/src/object_client.cpp
@@ -1,11 +1,11 @@
-#include "laburnum/platform/object_client.hpp"
+#include "laburnum/coordination/object_client.hpp"
 
 #include "laburnum/kernel/log.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-namespace laburnum::platform {
+namespace laburnum::coordination {
 namespace {
 
 namespace bhttp = boost::beast::http;
@@ -257,4 +257,4 @@
   co_return co_await write(std::move(object), aExpected);
 }
 
-} // namespace laburnum::platform
+} // namespace laburnum::coordination
--- a/platform/tests/unit_claims.cpp
+++ b/coordination/tests/unit_claims.cpp
@@ -1,10 +1,10 @@
-#include "laburnum/platform/claim_shard.hpp"
-#include "laburnum/platform/keyed_claim.hpp"
+#include "laburnum/coordination/claim_shard.hpp"
+#include "laburnum/coordination/keyed_claim.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace laburnum;
-using namespace laburnum::platform;
+using namespace laburnum::coordination;
 
 namespace {
 
--- a/platform/tests/unit_lease.cpp
+++ b/coordination/tests/unit_lease.cpp
@@ -1,9 +1,9 @@
-#include "laburnum/platform/lease.hpp"
+#include "laburnum/coordination/lease.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace laburnum;
-using namespace laburnum::platform;
+using namespace laburnum::coordination;
 
 namespace {
 
--- a/platform/tests/unit_object_client.cpp
+++ b/coordination/tests/unit_object_client.cpp
@@ -1,11 +1,11 @@
+#include "laburnum/coordination/object_client.hpp"
 #include "laburnum/http/server.hpp"
-#include "laburnum/platform/object_client.hpp"
 
 #include <catch2/catch.hpp>
 #include <optional>
 
 using namespace laburnum;
-using namespace laburnum::platform;
+using namespace laburnum::coordination;
 
 namespace {
 
--- a/ctl/include/laburnum/ctl/change.hpp
+++ b/ctl/include/laburnum/ctl/change.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "laburnum/platform/object_client.hpp"
+#include "laburnum/coordination/object_client.hpp"
 
 #include <optional>
 #include <string>
@@ -31,7 +31,7 @@
 /// and a detail that shows what another operator changed meanwhile.
 /// Pre: the value is valid. Thread safety: loop thread.
 asio::awaitable<Result<ChangeResult>>
-makeChange(Loop& aLoop, platform::ObjectClient& aClient, Change aChange);
+makeChange(Loop& aLoop, coordination::ObjectClient& aClient, Change aChange);
 
 /// The kinds of objects that operators change.
 /// Pre: none. Thread safety: any thread.
--- a/ctl/include/laburnum/ctl/commands.hpp
+++ b/ctl/include/laburnum/ctl/commands.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "laburnum/platform/object_client.hpp"
+#include "laburnum/coordination/object_client.hpp"
 
 #include <string>
 #include <vector>
@@ -47,15 +47,15 @@
 
 asio::awaitable<CommandResult>
 showStatus(Loop& aLoop,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            const Options& aOptions);
 asio::awaitable<CommandResult>
 waitForRollout(Loop& aLoop,
-               platform::ObjectClient& aClient,
+               coordination::ObjectClient& aClient,
                const Options& aOptions);
 asio::awaitable<CommandResult>
 drainInstance(Loop& aLoop,
-              platform::ObjectClient& aClient,
+              coordination::ObjectClient& aClient,
               const Options& aOptions);
 
 /// The exit code and text of a failure. Pre: none. Thread safety: any thread.
--- a/ctl/src/change.cpp
+++ b/ctl/src/change.cpp
@@ -22,7 +22,7 @@
 };
 
 asio::awaitable<Result<Present>>
-readPresent(platform::ObjectClient& aClient, const Change& aChange)
+readPresent(coordination::ObjectClient& aClient, const Change& aChange)
 {
   const auto object = co_await aClient.read(aChange.kind, aChange.name);
   if (object) {
@@ -70,16 +70,16 @@
 /// unique name.
 asio::awaitable<Result<std::uint64_t>>
 writeAudit(Loop& aLoop,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            const contract::Object& aRecord,
            std::uint64_t aExpected)
 {
   for (int i = 0; i < kTries; ++i) {
     const auto outcome = co_await aClient.write(aRecord, aExpected);
-    if (const auto* written = std::get_if<platform::Written>(&outcome)) {
+    if (const auto* written = std::get_if<coordination::Written>(&outcome)) {
       co_return written->version;
     }
-    if (const auto* other = std::get_if<platform::ConflictWith>(&outcome);
+    if (const auto* other = std::get_if<coordination::ConflictWith>(&outcome);
         other && other->present) {
       co_return other->present->version;
     }
@@ -91,7 +91,7 @@
 
 asio::awaitable<Result<std::uint64_t>>
 writeChange(Loop& aLoop,
-            platform::ObjectClient& aClient,
+            coordination::ObjectClient& aClient,
             const Change& aChange,
             const Present& aBefore)
 {
@@ -100,7 +100,7 @@
   object.value = aChange.value ? json::serialize(*aChange.value) : "";
   for (int i = 0; i < kTries; ++i) {
     const auto outcome = co_await aClient.write(object, aBefore.version);
-    if (const auto* written = std::get_if<platform::Written>(&outcome)) {
+    if (const auto* written = std::get_if<coordination::Written>(&outcome)) {
       co_return written->version;
     }
     const auto now = co_await readPresent(aClient, aChange);
@@ -134,7 +134,7 @@
 }
 
 asio::awaitable<Result<ChangeResult>>
-makeChange(Loop& aLoop, platform::ObjectClient& aClient, Change aChange)
+makeChange(Loop& aLoop, coordination::ObjectClient& aClient, Change aChange)
 {
   const auto before = co_await readPresent(aClient, aChange);
   if (!before) {
--- a/ctl/src/commands.cpp
+++ b/ctl/src/commands.cpp
@@ -125,7 +125,7 @@
 }
 
 asio::awaitable<CommandResult>
-apply(Loop& aLoop, platform::ObjectClient& aClient, const Options& aOptions)
+apply(Loop& aLoop, coordination::ObjectClient& aClient, const Options& aOptions)
 {
   const std::string kind = aOptions.words[0];
   const auto document = readDocument(kind, aOptions.words[2]);
@@ -161,7 +161,9 @@
 }
 
 asio::awaitable<CommandResult>
-remove(Loop& aLoop, platform::ObjectClient& aClient, const Options& aOptions)
+remove(Loop& aLoop,
+       coordination::ObjectClient& aClient,
+       const Options& aOptions)
 {
   const std::string& kind = aOptions.words[0];
   const std::string& name = aOptions.words[2];
@@ -187,7 +189,7 @@
 }
 
 asio::awaitable<CommandResult>
-get(platform::ObjectClient& aClient, const Options& aOptions)
+get(coordination::ObjectClient& aClient, const Options& aOptions)
 {
   const auto object =
     co_await aClient.read(aOptions.words[0], aOptions.words[2]);
@@ -204,7 +206,7 @@
 }
 
 asio::awaitable<CommandResult>
-list(platform::ObjectClient& aClient, const Options& aOptions)
+list(coordination::ObjectClient& aClient, const Options& aOptions)
 {
   const auto all = co_await aClient.list(aOptions.words[0]);
   if (!all) {
@@ -213,7 +215,7 @@
   json::array items;
   std::vector<std::vector<std::string>> rows;
   for (const contract::Object& object : all->objects) {
-    items.push_back(platform::toJson(object));
+    items.push_back(coordination::toJson(object));
     rows.push_back(
       { object.name, std::to_string(object.version), object.value });
   }
@@ -224,7 +226,7 @@
 }
 
 asio::awaitable<CommandResult>
-showDiff(platform::ObjectClient& aClient, const Options& aOptions)
+showDiff(coordination::ObjectClient& aClient, const Options& aOptions)
 {
   const auto document = readDocument(aOptions.words[0], aOptions.words[2]);
   if (!document) {
@@ -240,7 +242,7 @@
 }
 
 asio::awaitable<CommandResult>
-audit(platform::ObjectClient& aClient,
+audit(coordination::ObjectClient& aClient,
       const Options& aOptions,
       std::string_view aKind,
       std::string_view aName)
@@ -324,7 +326,7 @@
                              .error =
                                "--platform: missing, expected IP:PORT\n" };
   }
-  platform::ObjectClient client(aLoop, aOptions.platform);
+  coordination::ObjectClient client(aLoop, aOptions.platform);
   if (words[0] == "status" && words.size() == 1) {
     co_return co_await showStatus(aLoop, client, aOptions);
   }
--- a/ctl/src/fleet.cpp
+++ b/ctl/src/fleet.cpp
@@ -22,7 +22,7 @@
 };
 
 asio::awaitable<Result<std::vector<Instance>>>
-instancesOf(platform::ObjectClient& aClient)
+instancesOf(coordination::ObjectClient& aClient)
 {
   const auto objects = co_await aClient.list("instance");
   if (!objects) {
@@ -98,7 +98,7 @@
 
 asio::awaitable<CommandResult>
 showStatus(Loop& aLoop,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            const Options& aOptions)
 {
   const auto instances = co_await instancesOf(aClient);
@@ -149,7 +149,7 @@
 
 asio::awaitable<CommandResult>
 waitForRollout(Loop& aLoop,
-               platform::ObjectClient& aClient,
+               coordination::ObjectClient& aClient,
                const Options& aOptions)
 {
   const std::string key = aOptions.words[1] + "/" + aOptions.words[2];
@@ -198,7 +198,7 @@
 
 asio::awaitable<CommandResult>
 drainInstance(Loop& aLoop,
-              platform::ObjectClient& aClient,
+              coordination::ObjectClient& aClient,
               const Options& aOptions)
 {
   const auto instances = co_await instancesOf(aClient);
--- a/ctl/tests/unit_ctl.cpp
+++ b/ctl/tests/unit_ctl.cpp
@@ -16,7 +16,7 @@
 {
   Loop loop;
   standins::PlatformServer platform{ loop, {} };
-  ::laburnum::platform::ObjectClient client{ loop, { platform.address() } };
+  ::laburnum::coordination::ObjectClient client{ loop, { platform.address() } };
 
   template<class Task>
   auto wait(Task aTask)
--- a/entry/include/laburnum/entry/claims.hpp
+++ b/entry/include/laburnum/entry/claims.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "laburnum/coordination/claim_shard.hpp"
 #include "laburnum/node/node.hpp"
-#include "laburnum/platform/claim_shard.hpp"
 
 #include <map>
 #include <memory>
@@ -17,8 +17,8 @@
 
   /// Carries out an operation on a claim; its answer tells who holds the key.
   /// Pre: none.
-  asio::awaitable<platform::AnswerClaim> submit(
-    platform::ClaimOperation aOperation);
+  asio::awaitable<coordination::AnswerClaim> submit(
+    coordination::ClaimOperation aOperation);
 
   /// Has the next operation on a key read the platform first, since another
   /// entry may have changed its claim. Pre: none.
@@ -27,7 +27,7 @@
   /// Records an outcome; tries again in the background if need be. Pre: none.
   asio::awaitable<void> record(std::string aKey,
                                std::uint64_t aNonce,
-                               platform::RecordedOutcome aOutcome);
+                               coordination::RecordedOutcome aOutcome);
 
   /// Frees the key of a request that certainly has not run. Pre: none.
   asio::awaitable<void> release(std::string aKey, std::uint64_t aNonce);
@@ -36,7 +36,7 @@
   struct Shard
   {
     std::string name;
-    platform::ClaimShard machine;
+    coordination::ClaimShard machine;
   };
   struct Waiter
   {
@@ -45,14 +45,14 @@
     {
     }
     asio::steady_timer timer;
-    std::optional<platform::AnswerClaim> answer;
+    std::optional<coordination::AnswerClaim> answer;
   };
 
   Shard& shardOf(const std::string& aKey);
-  void run(Shard& aShard, std::vector<platform::ClaimAction> aActions);
-  asio::awaitable<void> write(Shard& aShard, platform::WriteShard aWrite);
+  void run(Shard& aShard, std::vector<coordination::ClaimAction> aActions);
+  asio::awaitable<void> write(Shard& aShard, coordination::WriteShard aWrite);
   asio::awaitable<void> read(Shard& aShard);
-  asio::awaitable<void> persist(platform::ClaimOperation aOperation);
+  asio::awaitable<void> persist(coordination::ClaimOperation aOperation);
 
   node::Node& mNode;
   Loop& mLoop;
--- a/entry/include/laburnum/entry/entry.hpp
+++ b/entry/include/laburnum/entry/entry.hpp
@@ -58,10 +58,10 @@
                                              policy::RequestEvent aFirst);
   asio::awaitable<void> claimThenSend(ExchangePtr aExchange,
                                       policy::SendAttempt aSend);
-  platform::ClaimedAttempt attemptToClaim(policy::ServerId aServer,
-                                          policy::AttemptId aAttempt) const;
-  bool isHolderGone(const platform::Claim& aClaim) const;
-  http::Response heldResponse(const platform::Claim& aClaim,
+  coordination::ClaimedAttempt attemptToClaim(policy::ServerId aServer,
+                                              policy::AttemptId aAttempt) const;
+  bool isHolderGone(const coordination::Claim& aClaim) const;
+  http::Response heldResponse(const coordination::Claim& aClaim,
                               std::uint64_t aRequestHash) const;
 
   // Requests between callers and agents (exchange.cpp).
--- a/entry/include/laburnum/entry/exchange.hpp
+++ b/entry/include/laburnum/entry/exchange.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "laburnum/coordination/claim_shard.hpp"
 #include "laburnum/kernel/loop.hpp"
-#include "laburnum/platform/claim_shard.hpp"
 #include "laburnum/policy/request_machine.hpp"
 #include "laburnum/policy/router.hpp"
 #include "laburnum/wire/message.hpp"
@@ -52,7 +52,7 @@
   std::string key; ///< Of the account and its Idempotency-Key.
   std::uint64_t nonce = 0;
   std::uint64_t requestHash = 0;
-  platform::ClaimedAttempt attempt;
+  coordination::ClaimedAttempt attempt;
 };
 
 /// One request between its caller's session and the agents: the machine that
--- a/entry/src/claims.cpp
+++ b/entry/src/claims.cpp
@@ -39,8 +39,8 @@
   return shard;
 }
 
-asio::awaitable<platform::AnswerClaim>
-Claims::submit(platform::ClaimOperation aOperation)
+asio::awaitable<coordination::AnswerClaim>
+Claims::submit(coordination::ClaimOperation aOperation)
 {
   const std::uint64_t token = ++mNextToken;
   std::visit([token](auto& aOne) { aOne.token = token; }, aOperation);
@@ -59,15 +59,15 @@
 }
 
 void
-Claims::run(Shard& aShard, std::vector<platform::ClaimAction> aActions)
+Claims::run(Shard& aShard, std::vector<coordination::ClaimAction> aActions)
 {
-  for (platform::ClaimAction& action : aActions) {
-    if (auto* write = std::get_if<platform::WriteShard>(&action)) {
+  for (coordination::ClaimAction& action : aActions) {
+    if (auto* write = std::get_if<coordination::WriteShard>(&action)) {
       mLoop.spawn(this->write(aShard, std::move(*write)));
-    } else if (std::holds_alternative<platform::ReadShard>(action)) {
+    } else if (std::holds_alternative<coordination::ReadShard>(action)) {
       mLoop.spawn(read(aShard));
     } else {
-      auto& answer = std::get<platform::AnswerClaim>(action);
+      auto& answer = std::get<coordination::AnswerClaim>(action);
       const auto found = mWaiters.find(answer.token);
       if (found != mWaiters.end()) {
         found->second->answer = std::move(answer);
@@ -79,17 +79,17 @@
 }
 
 asio::awaitable<void>
-Claims::write(Shard& aShard, platform::WriteShard aWrite)
+Claims::write(Shard& aShard, coordination::WriteShard aWrite)
 {
   ++mNode.metrics().counter("laburnum_claim_writes_total");
   contract::Object object{ .kind = "claim", .name = aShard.name };
   object.value = std::move(aWrite.value);
   const auto outcome =
     co_await mNode.platform().write(std::move(object), aWrite.expected);
-  if (const auto* written = std::get_if<platform::Written>(&outcome)) {
+  if (const auto* written = std::get_if<coordination::Written>(&outcome)) {
     run(aShard, aShard.machine.written(written->version));
   } else if (const auto* conflict =
-               std::get_if<platform::ConflictWith>(&outcome)) {
+               std::get_if<coordination::ConflictWith>(&outcome)) {
     const std::uint64_t version =
       conflict->present ? conflict->present->version : 0;
     run(aShard,
@@ -114,12 +114,12 @@
 }
 
 asio::awaitable<void>
-Claims::persist(platform::ClaimOperation aOperation)
+Claims::persist(coordination::ClaimOperation aOperation)
 {
   Duration pause = kPollPeriod;
   for (int i = 0; i < kPersistAttempts; ++i) {
     const auto answer = co_await submit(aOperation);
-    if (answer.status != platform::ClaimStatus::Unavailable) {
+    if (answer.status != coordination::ClaimStatus::Unavailable) {
       co_return;
     }
     co_await mLoop.sleep(pause);
@@ -133,18 +133,18 @@
 asio::awaitable<void>
 Claims::record(std::string aKey,
                std::uint64_t aNonce,
-               platform::RecordedOutcome aOutcome)
+               coordination::RecordedOutcome aOutcome)
 {
-  platform::RecordOutcome operation{ .key = aKey,
-                                     .nonce = aNonce,
-                                     .outcome = std::move(aOutcome) };
+  coordination::RecordOutcome operation{ .key = aKey,
+                                         .nonce = aNonce,
+                                         .outcome = std::move(aOutcome) };
   co_await persist(std::move(operation));
 }
 
 asio::awaitable<void>
 Claims::release(std::string aKey, std::uint64_t aNonce)
 {
-  platform::ReleaseClaim operation{ .key = aKey, .nonce = aNonce };
+  coordination::ReleaseClaim operation{ .key = aKey, .nonce = aNonce };
   co_await persist(std::move(operation));
 }
 
--- a/entry/src/keyed.cpp
+++ b/entry/src/keyed.cpp
@@ -1,8 +1,8 @@
 #include "laburnum/entry/entry.hpp"
 
+#include "laburnum/coordination/keyed_claim.hpp"
 #include "laburnum/entry/answers.hpp"
 #include "laburnum/kernel/hash.hpp"
-#include "laburnum/platform/keyed_claim.hpp"
 
 namespace laburnum::entry {
 namespace {
@@ -27,7 +27,7 @@
 
 } // namespace
 
-platform::ClaimedAttempt
+coordination::ClaimedAttempt
 Entry::attemptToClaim(policy::ServerId aServer,
                       policy::AttemptId aAttempt) const
 {
@@ -40,7 +40,7 @@
 /// True if the holder's run is not among the live entries, and its agent can
 /// be asked. A wrong guess costs the holder its attempt, never a second run.
 bool
-Entry::isHolderGone(const platform::Claim& aClaim) const
+Entry::isHolderGone(const coordination::Claim& aClaim) const
 {
   const std::uint64_t holder = aClaim.holder;
   if (holder == 0 || holder == mNode.identity().incarnation ||
@@ -58,7 +58,7 @@
 
 /// The answer to a request whose key another request holds.
 http::Response
-Entry::heldResponse(const platform::Claim& aClaim,
+Entry::heldResponse(const coordination::Claim& aClaim,
                     std::uint64_t aRequestHash) const
 {
   if (aClaim.requestHash != aRequestHash) {
@@ -99,34 +99,34 @@
     if (server) {
       held.attempt = attemptToClaim(*server, routed.attempt);
     }
-    platform::TakeClaim take{ .key = held.key,
-                              .nonce = held.nonce,
-                              .requestHash = held.requestHash,
-                              .holder = mNode.identity().incarnation,
-                              .attempt = held.attempt };
+    coordination::TakeClaim take{ .key = held.key,
+                                  .nonce = held.nonce,
+                                  .requestHash = held.requestHash,
+                                  .holder = mNode.identity().incarnation,
+                                  .attempt = held.attempt };
     const auto answer = co_await mClaims.submit(std::move(take));
     const bool gone = isHolderGone(answer.claim);
-    const auto step = platform::keyedStep(answer, held.requestHash, gone);
-    if (step == platform::KeyedStep::Refuse) {
+    const auto step = coordination::keyedStep(answer, held.requestHash, gone);
+    if (step == coordination::KeyedStep::Refuse) {
       // The claim may have taken effect all the same.
       mLoop.spawn(mClaims.release(held.key, held.nonce));
       co_return failureResponse(claimUnavailable(Verdict::NotRun));
     }
-    if (step == platform::KeyedStep::Run) {
+    if (step == coordination::KeyedStep::Run) {
       co_return co_await runClaimed(
         std::move(aRequest), std::move(held), routed);
     }
-    if (step == platform::KeyedStep::Adopt) {
-      platform::TakeOverClaim over{ .key = held.key,
-                                    .nonce = held.nonce,
-                                    .from = answer.claim.nonce,
-                                    .holder = mNode.identity().incarnation,
-                                    .attempt = answer.claim.attempt };
+    if (step == coordination::KeyedStep::Adopt) {
+      coordination::TakeOverClaim over{ .key = held.key,
+                                        .nonce = held.nonce,
+                                        .from = answer.claim.nonce,
+                                        .holder = mNode.identity().incarnation,
+                                        .attempt = answer.claim.attempt };
       const auto taken = co_await mClaims.submit(std::move(over));
-      if (taken.status == platform::ClaimStatus::Unavailable) {
+      if (taken.status == coordination::ClaimStatus::Unavailable) {
         co_return failureResponse(claimUnavailable(Verdict::MayHaveRun));
       }
-      if (taken.status == platform::ClaimStatus::Granted) {
+      if (taken.status == coordination::ClaimStatus::Granted) {
         held.attempt = answer.claim.attempt;
         const policy::Adopt adopt{ .server = serverIdOf(held.attempt.agent),
                                    .attempt = { .entry = held.attempt.entry,
@@ -136,7 +136,7 @@
           std::move(aRequest), std::move(held), adopt);
       }
     }
-    if (step == platform::KeyedStep::Answer || mLoop.now() >= end) {
+    if (step == coordination::KeyedStep::Answer || mLoop.now() >= end) {
       co_return heldResponse(answer.claim, held.requestHash);
     }
     co_await mLoop.sleep(kPollPeriod);
@@ -171,7 +171,7 @@
   std::string body = co_await wholeAnswer(exchange);
   http::Response response = responseOf(*exchange, std::move(body));
   const bool fits = response.body().size() <= kMaxRecordedBytes;
-  platform::RecordedOutcome outcome{
+  coordination::RecordedOutcome outcome{
     .status = response.result_int(),
     .contentType = std::string(response[bhttp::field::content_type]),
     .body = fits ? response.body() : "",
@@ -193,18 +193,18 @@
 Entry::claimThenSend(ExchangePtr aExchange, policy::SendAttempt aSend)
 {
   HeldClaim& held = *aExchange->claim;
-  const platform::ClaimedAttempt next =
+  const coordination::ClaimedAttempt next =
     attemptToClaim(aSend.server, aSend.attempt);
-  platform::MoveClaim move{ .key = held.key,
-                            .nonce = held.nonce,
-                            .attempt = next };
+  coordination::MoveClaim move{ .key = held.key,
+                                .nonce = held.nonce,
+                                .attempt = next };
   const auto answer = co_await mClaims.submit(std::move(move));
   const auto& current = aExchange->machine.current();
   if (!current || current->attempt != aSend.attempt) {
     co_return;
   }
   const bool sameRun = attemptToClaim(aSend.server, aSend.attempt) == next;
-  if (answer.status == platform::ClaimStatus::Granted && sameRun &&
+  if (answer.status == coordination::ClaimStatus::Granted && sameRun &&
       next.agentIncarnation != 0) {
     held.attempt = next;
     send(aExchange, aSend);
@@ -214,7 +214,7 @@
         policy::AttemptRejected{ .attempt = aSend.attempt,
                                  .verdict = Verdict::NotRun,
                                  .error = answer.status ==
-                                              platform::ClaimStatus::Granted
+                                              coordination::ClaimStatus::Granted
                                             ? Error::ServerLost
                                             : Error::ClaimUnavailable });
 }
--- a/node/include/laburnum/node/duty.hpp
+++ b/node/include/laburnum/node/duty.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "laburnum/coordination/lease.hpp"
+#include "laburnum/coordination/object_client.hpp"
 #include "laburnum/experts/order_gate.hpp"
 #include "laburnum/kernel/loop.hpp"
-#include "laburnum/platform/lease.hpp"
-#include "laburnum/platform/object_client.hpp"
 
 #include <string>
 
@@ -18,10 +18,10 @@
   /// aSelf must differ between runs of an instance. Pre: the client lives
   /// longer.
   Duty(Loop& aLoop,
-       platform::ObjectClient& aClient,
+       coordination::ObjectClient& aClient,
        std::string aName,
        std::string aSelf,
-       platform::LeaseOptions aOptions = {});
+       coordination::LeaseOptions aOptions = {});
 
   /// Renews or takes the lease if it is time. Call about four times a
   /// second, on daemons that are candidates. Pre: none.
@@ -36,17 +36,17 @@
   /// "idle", "acquiring", "held" or "resting". Pre: none.
   std::string_view state() const
   {
-    return nameIn(platform::kLeaseStateNames, mLease.state());
+    return nameIn(coordination::kLeaseStateNames, mLease.state());
   }
 
 private:
   asio::awaitable<void> read();
-  asio::awaitable<void> write(platform::WriteLease aWrite);
+  asio::awaitable<void> write(coordination::WriteLease aWrite);
 
   Loop& mLoop;
-  platform::ObjectClient& mClient;
+  coordination::ObjectClient& mClient;
   std::string mName;
-  platform::Lease mLease;
+  coordination::Lease mLease;
 };
 
 /// Passes an order of a duty's holder through a gate: nothing passes before the
@@ -55,7 +55,7 @@
 /// outlive the call. Thread safety: loop thread.
 asio::awaitable<Error>
 admitOrder(experts::OrderGate& aGate,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            std::string aDuty,
            std::uint64_t aFence);
 
--- a/node/include/laburnum/node/node.hpp
+++ b/node/include/laburnum/node/node.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/contract/object_store.hpp"
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/coordination/object_client.hpp"
 #include "laburnum/http/server.hpp"
 #include "laburnum/kernel/metrics.hpp"
 #include "laburnum/membership/config_spread.hpp"
@@ -9,7 +10,6 @@
 #include "laburnum/node/drain.hpp"
 #include "laburnum/node/duty.hpp"
 #include "laburnum/node/placement_duty.hpp"
-#include "laburnum/platform/object_client.hpp"
 #include "laburnum/wire/link.hpp"
 
 #include <functional>
@@ -55,7 +55,7 @@
   const contract::Settings& settings() const { return mSettings; }
   const wire::Identity& identity() const { return mIdentity; }
   contract::ObjectStore& store() { return mStore; }
-  platform::ObjectClient& platform() { return mPlatform; }
+  coordination::ObjectClient& platform() { return mPlatform; }
   Metrics& metrics() { return mMetrics; }
   DrainMachine& drain() { return mDrain; }
   membership::Membership& membership() { return *mMembership; }
@@ -122,7 +122,7 @@
   contract::Settings mSettings;
   wire::Identity mIdentity;
   contract::ObjectStore mStore;
-  platform::ObjectClient mPlatform;
+  coordination::ObjectClient mPlatform;
   Metrics mMetrics;
   DrainMachine mDrain;
   std::uint64_t mIncarnation;
--- a/node/include/laburnum/node/placement_duty.hpp
+++ b/node/include/laburnum/node/placement_duty.hpp
@@ -25,7 +25,7 @@
 
   /// Pre: the references outlive the duty; aSelf as for `Duty`.
   PlacementDuty(Loop& aLoop,
-                platform::ObjectClient& aClient,
+                coordination::ObjectClient& aClient,
                 const contract::ObjectStore& aStore,
                 std::string aSelf);
 
--- a/node/src/duty.cpp
+++ b/node/src/duty.cpp
@@ -19,7 +19,7 @@
 }
 
 /// A record that can't be read counts as one that nobody holds.
-platform::LeaseRecord
+coordination::LeaseRecord
 parseRecord(const std::string& aText)
 {
   json::error_code error;
@@ -37,7 +37,7 @@
 }
 
 std::string
-textOf(const platform::LeaseRecord& aRecord)
+textOf(const coordination::LeaseRecord& aRecord)
 {
   return json::serialize(json::object{ { "holder", aRecord.holder },
                                        { "nonce", aRecord.nonce },
@@ -47,7 +47,7 @@
 /// The present fencing number of a duty as the platform holds it; 0 if nobody
 /// has held it yet.
 asio::awaitable<Result<std::uint64_t>>
-readFence(platform::ObjectClient& aClient, const std::string& aDuty)
+readFence(coordination::ObjectClient& aClient, const std::string& aDuty)
 {
   const auto object = co_await aClient.read(kKind, aDuty);
   if (object) {
@@ -62,10 +62,10 @@
 } // namespace
 
 Duty::Duty(Loop& aLoop,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            std::string aName,
            std::string aSelf,
-           platform::LeaseOptions aOptions)
+           coordination::LeaseOptions aOptions)
   : mLoop(aLoop)
   , mClient(aClient)
   , mName(std::move(aName))
@@ -77,7 +77,7 @@
 Duty::tick()
 {
   for (const auto& action : mLease.tick(mLoop.now(), entropySeed())) {
-    if (const auto* write = std::get_if<platform::WriteLease>(&action)) {
+    if (const auto* write = std::get_if<coordination::WriteLease>(&action)) {
       mLoop.spawn(this->write(*write));
     } else {
       mLoop.spawn(read());
@@ -99,21 +99,21 @@
 }
 
 asio::awaitable<void>
-Duty::write(platform::WriteLease aWrite)
+Duty::write(coordination::WriteLease aWrite)
 {
   const Instant sentAt = mLoop.now();
   contract::Object object{ .kind = kKind, .name = mName };
   object.value = textOf(aWrite.record);
   const auto outcome =
     co_await mClient.write(std::move(object), aWrite.expected);
-  if (const auto* written = std::get_if<platform::Written>(&outcome)) {
+  if (const auto* written = std::get_if<coordination::Written>(&outcome)) {
     mLease.written(written->version, sentAt, mLoop.now());
   } else if (const auto* other =
-               std::get_if<platform::ConflictWith>(&outcome)) {
+               std::get_if<coordination::ConflictWith>(&outcome)) {
     const bool present = other->present.has_value();
     mLease.conflicted(present ? other->present->version : 0,
                       present ? parseRecord(other->present->value)
-                              : platform::LeaseRecord{},
+                              : coordination::LeaseRecord{},
                       mLoop.now());
   } else {
     mLease.failed();
@@ -122,7 +122,7 @@
 
 asio::awaitable<Error>
 admitOrder(experts::OrderGate& aGate,
-           platform::ObjectClient& aClient,
+           coordination::ObjectClient& aClient,
            std::string aDuty,
            std::uint64_t aFence)
 {
--- a/node/src/placement_duty.cpp
+++ b/node/src/placement_duty.cpp
@@ -59,7 +59,7 @@
 } // namespace
 
 PlacementDuty::PlacementDuty(Loop& aLoop,
-                             platform::ObjectClient& aClient,
+                             coordination::ObjectClient& aClient,
                              const contract::ObjectStore& aStore,
                              std::string aSelf)
   : mLoop(aLoop)
--- a/node/src/platform_tasks.cpp
+++ b/node/src/platform_tasks.cpp
@@ -97,10 +97,11 @@
     // Built anew each time, so that the last write has the latest offers.
     contract::Object object = instanceObject();
     const auto outcome = co_await mPlatform.write(std::move(object), expected);
-    if (std::holds_alternative<platform::Written>(outcome)) {
+    if (std::holds_alternative<coordination::Written>(outcome)) {
       co_return;
     }
-    if (const auto* conflict = std::get_if<platform::ConflictWith>(&outcome)) {
+    if (const auto* conflict =
+          std::get_if<coordination::ConflictWith>(&outcome)) {
       expected = conflict->present ? conflict->present->version : 0;
       continue;
     }
@@ -121,7 +122,7 @@
     if (!listed) {
       continue;
     }
-    for (const platform::ListedInstance& instance : *listed) {
+    for (const coordination::ListedInstance& instance : *listed) {
       if (instance.leaving) {
         run(mMembership->listedLeaving(instance.name, mLoop.now()));
       }
@@ -167,7 +168,7 @@
   // newer one, which stays.
   const std::uint64_t seen = mStore.find("instance", stale)->version;
   const auto outcome = co_await mPlatform.remove("instance", stale, seen);
-  if (std::holds_alternative<platform::Written>(outcome)) {
+  if (std::holds_alternative<coordination::Written>(outcome)) {
     log(LogLevel::Info, "instance_removed", { { "name", stale } });
   }
 }
--- a/standins/src/platform_server.cpp
+++ b/standins/src/platform_server.cpp
@@ -1,4 +1,4 @@
-#include "laburnum/platform/object_client.hpp"
+#include "laburnum/coordination/object_client.hpp"
 #include "laburnum/standins/servers.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -28,7 +28,7 @@
 {
   json::array items;
   for (const contract::Object& object : aObjects) {
-    items.push_back(platform::toJson(object));
+    items.push_back(coordination::toJson(object));
   }
   return { { "items", std::move(items) }, { "version", aVersion } };
 }
@@ -128,7 +128,7 @@
   if (object == nullptr) {
     co_return reply(404, json::object{ { "error", "no such object" } });
   }
-  co_return reply(200, platform::toJson(*object));
+  co_return reply(200, coordination::toJson(*object));
 }
 
 http::Response
@@ -161,10 +161,10 @@
       --mCore.faults.loseReplies;
       aLose = true;
     }
-    return reply(200, platform::toJson(*result.object));
+    return reply(200, coordination::toJson(*result.object));
   }
   return reply(
-    412, result.object ? platform::toJson(*result.object) : json::object());
+    412, result.object ? coordination::toJson(*result.object) : json::object());
 }
 
 asio::awaitable<http::Response>
