--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/steward/steward.hpp"
 
+#include "frames.hpp"
+
 #include "laburnum/kernel/log.hpp"
 
 #include <algorithm>
@@ -24,133 +26,6 @@
 /// come at most 12 s late, nearly all of them sooner.
 constexpr Duration kQuietStart = seconds(2);
 
-std::int64_t
-orNone(const std::optional<std::uint64_t>& aValue)
-{
-  return aValue ? static_cast<std::int64_t>(*aValue) : -1;
-}
-
-std::optional<std::uint64_t>
-orNothing(std::int64_t aValue)
-{
-  return aValue < 0 ? std::nullopt
-                    : std::optional(static_cast<std::uint64_t>(aValue));
-}
-
-std::vector<std::unique_ptr<wire::LayerMapT>>
-toWire(const experts::GroupMap& aMap)
-{
-  std::vector<std::unique_ptr<wire::LayerMapT>> layers;
-  for (const experts::ExpertMap& set : aMap) {
-    auto layer = std::make_unique<wire::LayerMapT>();
-    for (const auto& slots : set.slots) {
-      auto rank = std::make_unique<wire::RankExpertsT>();
-      rank->experts = slots;
-      layer->ranks.push_back(std::move(rank));
-    }
-    layers.push_back(std::move(layer));
-  }
-  return layers;
-}
-
-experts::GroupMap
-fromWire(const std::vector<std::unique_ptr<wire::LayerMapT>>& aLayers)
-{
-  experts::GroupMap map;
-  for (const auto& layer : aLayers) {
-    experts::ExpertMap set;
-    for (const auto& rank : layer->ranks) {
-      set.slots.push_back(rank->experts);
-    }
-    map.push_back(std::move(set));
-  }
-  return map;
-}
-
-/// An order in the form of its frame.
-struct ToFrame
-{
-  wire::RankOrderT& frame;
-
-  void operator()(const experts::PrepareOrder& aOrder) const
-  {
-    frame.kind = wire::RankOrderKind::Prepare;
-    frame.version = aOrder.version;
-    frame.layers = toWire(aOrder.map);
-  }
-  void operator()(const experts::ArmOrder& aOrder) const
-  {
-    frame.kind = wire::RankOrderKind::Arm;
-    frame.version = aOrder.armed.version;
-    frame.step = aOrder.armed.step;
-  }
-  void operator()(const experts::DisarmOrder& aOrder) const
-  {
-    frame.kind = wire::RankOrderKind::Disarm;
-    frame.version = aOrder.version;
-  }
-  void operator()(const experts::HoldOrder& aOrder) const
-  {
-    frame.kind = wire::RankOrderKind::Hold;
-    frame.step = aOrder.step;
-  }
-  void operator()(const experts::ReleaseOrder& aOrder) const
-  {
-    frame.kind = wire::RankOrderKind::Release;
-    frame.step = aOrder.step;
-  }
-};
-
-/// The order of a frame other than Prepare.
-experts::EngineOrder
-toOrder(const wire::RankOrderT& aFrame)
-{
-  switch (aFrame.kind) {
-    case wire::RankOrderKind::Arm:
-      return experts::ArmOrder{ { aFrame.version, aFrame.step } };
-    case wire::RankOrderKind::Disarm:
-      return experts::DisarmOrder{ aFrame.version };
-    case wire::RankOrderKind::Hold:
-      return experts::HoldOrder{ aFrame.step };
-    case wire::RankOrderKind::Prepare:
-    case wire::RankOrderKind::Release:
-      break;
-  }
-  return experts::ReleaseOrder{ aFrame.step };
-}
-
-/// What differs between two maps of a group.
-std::vector<std::unique_ptr<wire::RankChangeT>>
-changesBetween(const experts::GroupMap& aOld, const experts::GroupMap& aNew)
-{
-  std::vector<std::unique_ptr<wire::RankChangeT>> changes;
-  for (std::size_t set = 0; set < aNew.size(); ++set) {
-    for (std::size_t rank = 0; rank < aNew[set].slots.size(); ++rank) {
-      if (aNew[set].slots[rank] == aOld[set].slots[rank]) {
-        continue;
-      }
-      auto change = std::make_unique<wire::RankChangeT>();
-      change->set = static_cast<std::uint16_t>(set);
-      change->rank = static_cast<std::uint16_t>(rank);
-      change->experts = aNew[set].slots[rank];
-      changes.push_back(std::move(change));
-    }
-  }
-  return changes;
-}
-
-/// Map 0 assigns the experts to the ranks in turn (PROTOCOL.md, Requests).
-experts::GroupMap
-firstMap(std::size_t aSets, std::size_t aExperts, std::size_t aRanks)
-{
-  experts::ExpertMap set;
-  set.slots.resize(aRanks);
-  for (std::size_t expert = 0; expert < aExperts; ++expert) {
-    set.slots[expert % aRanks].push_back(static_cast<std::uint16_t>(expert));
-  }
-  return experts::GroupMap(aSets, set);
-}
-
 bool
 isBefore(const contract::Address& aLeft, const contract::Address& aRight)
 {
@@ -539,32 +414,7 @@
     mDuty.emplace(mReport.rank, mReport.size, mOptions);
     mDutyGroup = mReport.group;
   }
-  RankNews news{ .rank = aReport.rank,
-                 .size = aReport.size,
-                 .isOpen = aReport.open };
-  news.state.epoch = aReport.epoch;
-  news.state.step = aReport.step;
-  news.state.inForce = aReport.in_force;
-  news.state.prepared = orNothing(aReport.prepared);
-  if (aReport.armed_version >= 0) {
-    news.state.armed =
-      experts::ArmedMap{ static_cast<std::uint64_t>(aReport.armed_version),
-                         static_cast<std::uint64_t>(aReport.armed_step) };
-  }
-  news.state.held = orNothing(aReport.held);
-  if (aReport.experts) {
-    for (const auto& set : aReport.experts->ranks) {
-      news.experts.push_back(set->experts);
-    }
-  }
-  if (!aReport.scales.empty() &&
-      aReport.counts.size() % aReport.scales.size() == 0) {
-    const std::size_t each = aReport.counts.size() / aReport.scales.size();
-    for (std::size_t i = 0; i < aReport.counts.size(); ++i) {
-      news.counts.push_back(aReport.counts[i] *
-                            static_cast<double>(aReport.scales[i / each]));
-    }
-  }
+  const RankNews news = newsOf(aReport);
   mKnowsMap[aReport.rank] = aReport.knows_map;
   if (aLink) {
     mRanks[aReport.rank] = aLink;
@@ -594,7 +444,7 @@
     frame.base = mReport.state.inForce;
     frame.changes = changesBetween(present, prepare->map);
   } else {
-    std::visit(ToFrame{ frame }, aOrder.order);
+    fill(frame, aOrder.order);
   }
   found->second->send(std::move(frame));
 }
