Use four fifths of the retry ratio

Not traced to its end: by its own count each entry kept to the ratio, so what differs is what is counted when. Change: a margin of a fifth. Conclusion: kept as a bound; the difference in counting is open.

--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -39,10 +39,7 @@
 
   /// A pause between two events of a stream was seen, beside so many streams
   /// of this entry. aEmptyPass is a pass without streams. Pre: none.
-  void gapSeen(Duration aGap,
-               int aStreams,
-               Duration aEmptyPass,
-               Instant aNow);
+  void gapSeen(Duration aGap, int aStreams, Duration aEmptyPass, Instant aNow);
 
   /// Nothing if a stream may begin beside so many others of this entry, or
   /// how long its caller should wait. Pre: times never go back.
@@ -55,7 +52,9 @@
   Duration pass() const { return fromSeconds(mPassMs / 1000); }
 
 private:
-  double predicted(double aMsPerStream, int aStreams, Duration aEmptyPass) const;
+  double predicted(double aMsPerStream,
+                   int aStreams,
+                   Duration aEmptyPass) const;
 
   GroupAdmissionOptions mOptions;
   double mPassMs = 0;
--- a/gateway/include/laburnum/gateway/retry_allowance.hpp
+++ b/gateway/include/laburnum/gateway/retry_allowance.hpp
@@ -10,7 +10,10 @@
 {
   Duration window = seconds(10); ///< As the deployment's settings say.
   double ratio = 0.2;            ///< Of the requests in a window.
-  double slack = 0;              ///< Of all entries together, in a window.
+  /// Part of the ratio that is used: the deployment counts requests in windows
+  /// of its own, which begin at other moments than ours.
+  double ratioShare = 0.8;
+  double slack = 0; ///< Of all entries together, in a window.
   double entries =
     32; ///< That the slack is divided by; at least all there are.
 };
--- a/gateway/src/group_admission.cpp
+++ b/gateway/src/group_admission.cpp
@@ -59,13 +59,13 @@
                         Duration aEmptyPass,
                         Instant aNow) const
 {
-  if (aStreams < mOptions.least || aAllowedGap == Duration(0) ||
-      mPassMs == 0 || aNow - mSeenAt > kFresh) {
+  if (aStreams < mOptions.least || aAllowedGap == Duration(0) || mPassMs == 0 ||
+      aNow - mSeenAt > kFresh) {
     return std::nullopt;
   }
   const double allowed = millisOf(aAllowedGap);
-  const double slope = std::max(0.0, mPassMs - millisOf(aEmptyPass)) /
-                       std::max(1.0, mStreams);
+  const double slope =
+    std::max(0.0, mPassMs - millisOf(aEmptyPass)) / std::max(1.0, mStreams);
   const double excess =
     std::max(predicted(slope, aStreams, aEmptyPass) /
                (allowed * mOptions.presentShare),
--- a/gateway/src/retry_allowance.cpp
+++ b/gateway/src/retry_allowance.cpp
@@ -37,9 +37,9 @@
   // A process that just started may follow one that used up its slack in the
   // same window.
   const bool hasSlack = aNow - mStartedAt >= mOptions.window;
-  const double allowed =
-    mOptions.ratio * static_cast<double>(mRequests.size()) +
-    (hasSlack ? mOptions.slack / mOptions.entries : 0);
+  const double allowed = mOptions.ratio * mOptions.ratioShare *
+                           static_cast<double>(mRequests.size()) +
+                         (hasSlack ? mOptions.slack / mOptions.entries : 0);
   if (static_cast<double>(mRepeats.size() + 1) > allowed) {
     return false;
   }
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -210,7 +210,8 @@
 
 TEST_CASE("retry_allowance_processJustStarted_hasNoSlack")
 {
-  RetryAllowance allowance({ .ratio = 0.2, .slack = 80, .entries = 8 });
+  RetryAllowance allowance(
+    { .ratio = 0.2, .ratioShare = 1, .slack = 80, .entries = 8 });
   for (int i = 0; i < 10; ++i) {
     allowance.request(kStart);
   }
@@ -237,7 +238,7 @@
       ++taken;
     }
   }
-  CHECK(taken <= 0.2 * kRequests + 212);
+  CHECK(taken <= 0.2 * kRequests * 0.8 + 212);
 }
 
 TEST_CASE("event_splitter_bytesComeInPieces_givesWholeEventsOnly")
