--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kConnectTimeout = milliseconds(300);
 /// An idempotent request is sent elsewhere after this many objectives.
 constexpr double kObjectivesOfAttempt = 2.5;
+
 /// Statuses that promise that the request did not run.
 bool
 promisesNotRun(unsigned aStatus)
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -16,8 +16,13 @@
 constexpr Duration kSeenNotReady = milliseconds(2600);
 /// Part of the grace after a stop that is kept for the end itself.
 constexpr Duration kStopMargin = milliseconds(400);
+/// Between two looks at what is still in progress while stopping.
 constexpr Duration kDrainLook = milliseconds(50);
+/// After a failed accept; callers allow a new connection a second
+/// (PROTOCOL.md, Answers).
 constexpr Duration kAcceptPause = milliseconds(20);
+/// Connections that wait to be accepted: a crest of the planned size that
+/// comes within 40 ms at one entry. The system bounds it further.
 constexpr int kBacklog = 1024;
 
 PlacementOptions
