Refuse while stopping what cannot end before the end

Ruled out: the balancer, which by its page uses all entries if fewer than half are in rotation. Change: once the balancer has seen that the gateway is not ready, a request is taken only if its time ends before the process does; else it is refused, truly not run.

--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/gateway/configuration.hpp"
+#include "laburnum/gateway/drain_rule.hpp"
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/placement.hpp"
 #include "laburnum/gateway/protocol.hpp"
@@ -13,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace laburnum::gateway {
 
@@ -52,6 +54,7 @@
   Metrics metrics;
   Random random;
   bool isDraining = false;
+  std::optional<DrainRule> draining; ///< While `isDraining`.
 };
 
 } // namespace laburnum::gateway
--- a/gateway/src/end_to_end.hpp
+++ b/gateway/src/end_to_end.hpp
@@ -14,6 +14,10 @@
 /// rank forms anew in about so long.
 inline constexpr Duration kNoServerWait = milliseconds(600);
 
+/// What a caller is told to wait by an entry that stops: it then reaches
+/// another one.
+inline constexpr Duration kLeavingWait = milliseconds(50);
+
 /// Headers that concern one connection only (RFC 9110, 7.6.1).
 inline bool
 isHopByHop(const bhttp::fields::value_type& aField, std::string_view aListed)
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -78,6 +78,10 @@
                               milliseconds(std::max<std::int64_t>(0, *stated)));
   }
   mDeadline = mBegan + time;
+  if (mContext.draining && !mContext.draining->takes(mBegan, mDeadline)) {
+    refuse(503, { .error = Error::ServerLeaving, .retryAfter = kLeavingWait });
+    return false;
+  }
   double weights = 0;
   for (const RouteTarget& target : mRoute->targets) {
     weights += target.weight;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -11,9 +11,6 @@
 namespace bhttp = http::beast::http;
 using asio::ip::tcp;
 
-/// The platform asks once a second and takes an entry out after two misses
-/// (PROTOCOL.md, Ingress).
-constexpr Duration kSeenNotReady = milliseconds(2600);
 /// Part of the grace after a stop that is kept for the end itself.
 constexpr Duration kStopMargin = milliseconds(400);
 /// Between two looks at what is still in progress while stopping.
@@ -219,6 +216,9 @@
     return;
   }
   mContext.isDraining = true;
+  mContext.draining =
+    DrainRule{ .begun = mLoop.now(),
+               .end = mLoop.now() + mSettings.gateway.stopGrace - kStopMargin };
   log(LogLevel::Info, "draining");
   mLoop.spawn(drain());
 }
@@ -226,8 +226,7 @@
 asio::awaitable<void>
 Gateway::drain()
 {
-  const Instant begin = mLoop.now();
-  const Instant end = begin + mSettings.gateway.stopGrace - kStopMargin;
+  const Instant end = mContext.draining->end;
   co_await mLoop.sleep(kSeenNotReady);
   for (;;) {
     bool isBusy = false;
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -1,4 +1,5 @@
 #include "laburnum/gateway/configuration.hpp"
+#include "laburnum/gateway/drain_rule.hpp"
 #include "laburnum/gateway/event_splitter.hpp"
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/placement.hpp"
@@ -374,3 +375,14 @@
   CHECK(at(milliseconds(100)));
   CHECK(!at(seconds(2)));
 }
+
+TEST_CASE("drain_rule_requestComesLate_isTakenOnlyIfItEndsInTime")
+{
+  // A stop with 7.6 s to its end; a stream of 8 s comes 4.2 s after it.
+  const DrainRule rule{ .begun = kStart, .end = kStart + milliseconds(7600) };
+  const Instant late = kStart + milliseconds(4200);
+  CHECK(!rule.takes(late, late + seconds(8)));
+  CHECK(rule.takes(late, late + seconds(1)));
+  const Instant early = kStart + seconds(1);
+  CHECK(rule.takes(early, early + seconds(8)));
+}
