--- a/gateway/include/laburnum/gateway/request_course.hpp
+++ b/gateway/include/laburnum/gateway/request_course.hpp
@@ -67,7 +67,7 @@
 class RequestCourse
 {
 public:
-  RequestCourse(Repeat aRepeat, bool aMayRepeat, int aMaxAttempts);
+  RequestCourse(bool aMayRepeat, int aMaxAttempts);
 
   /// A sending begins. Pre: none is in progress.
   void sending() { ++mSendings; }
@@ -111,7 +111,6 @@
   CourseDecision final(AttemptEnd aEnd) const;
 
   CourseOptions mOptions;
-  Repeat mRepeat;
   bool mMayRepeat;
   int mMaxAttempts;
   int mSendings = 0;
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -98,7 +98,7 @@
     refuse(503, { .error = Error::NoServer, .retryAfter = kNoServerWait });
     return false;
   }
-  mCourse.emplace(mRoute->repeat, mRoute->mayRepeat(), mRoute->maxAttempts);
+  mCourse.emplace(mRoute->mayRepeat(), mRoute->maxAttempts);
   mContext.allowance(mService->name).request(mBegan);
   mFingerprint = mix(hash64(mAccount),
                      mix(hash64(mRequest.target()), hash64(mRequest.body())));
--- a/gateway/src/request_course.cpp
+++ b/gateway/src/request_course.cpp
@@ -2,9 +2,8 @@
 
 namespace laburnum::gateway {
 
-RequestCourse::RequestCourse(Repeat aRepeat, bool aMayRepeat, int aMaxAttempts)
-  : mRepeat(aRepeat)
-  , mMayRepeat(aMayRepeat)
+RequestCourse::RequestCourse(bool aMayRepeat, int aMaxAttempts)
+  : mMayRepeat(aMayRepeat)
   , mMaxAttempts(aMaxAttempts)
 {
 }
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -144,7 +144,7 @@
   for (const Row& row : rows) {
     CAPTURE(nameIn(kRepeatNames, row.repeat),
             nameIn(kAttemptEndNames, row.end));
-    RequestCourse course(row.repeat, row.mayRepeat, 2);
+    RequestCourse course(row.mayRepeat, 2);
     course.sending();
     const auto decision =
       course.ended(row.end, seconds(1), [] { return true; });
@@ -157,7 +157,7 @@
 
 TEST_CASE("request_course_rejectedTwice_isRefusedAsNotRun")
 {
-  RequestCourse course(Repeat::NonIdempotent, false, 2);
+  RequestCourse course(false, 2);
   for (const bool isLast : { false, true }) {
     course.sending();
     const auto decision =
@@ -169,7 +169,7 @@
 
 TEST_CASE("request_course_lostThenRejected_isNeverCalledNotRun")
 {
-  RequestCourse course(Repeat::Idempotent, true, 2);
+  RequestCourse course(true, 2);
   course.sending();
   course.ended(AttemptEnd::Lost, seconds(1), [] { return true; });
   course.sending();
@@ -180,11 +180,11 @@
 
 TEST_CASE("request_course_noAllowanceOrTime_endsAtOnce")
 {
-  RequestCourse course(Repeat::Idempotent, true, 2);
+  RequestCourse course(true, 2);
   course.sending();
   CHECK(is<FailMayHaveRun>(
     course.ended(AttemptEnd::Lost, seconds(1), [] { return false; })));
-  RequestCourse late(Repeat::Idempotent, true, 2);
+  RequestCourse late(true, 2);
   late.sending();
   CHECK(is<FailMayHaveRun>(
     late.ended(AttemptEnd::Lost, milliseconds(1), [] { return true; })));
@@ -192,7 +192,7 @@
 
 TEST_CASE("request_course_eventsPassedOn_breaksOffInsteadOfFailing")
 {
-  RequestCourse course(Repeat::Stream, true, 1);
+  RequestCourse course(true, 1);
   course.sending();
   course.answerBegan();
   CHECK(is<BreakOff>(
@@ -202,9 +202,8 @@
 
 TEST_CASE("request_course_timeOver_saysNotRunOnlyIfNothingWasSent")
 {
-  CHECK(is<RefuseNotRun>(
-    RequestCourse(Repeat::NonIdempotent, false, 1).timedOut(false)));
-  RequestCourse sent(Repeat::NonIdempotent, false, 1);
+  CHECK(is<RefuseNotRun>(RequestCourse(false, 1).timedOut(false)));
+  RequestCourse sent(false, 1);
   sent.sending();
   CHECK(is<FailMayHaveRun>(sent.timedOut(true)));
 }
