--- a/gateway/include/laburnum/gateway/caller_connection.hpp
+++ b/gateway/include/laburnum/gateway/caller_connection.hpp
@@ -50,6 +50,7 @@
     http::beast::http::request_parser<http::beast::http::string_body>;
   using ErrorCode = boost::system::error_code;
 
+  CallerLimits limits() const;
   void waitForRequest();
   void readHead();
   void readBody();
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -53,8 +53,7 @@
   policy::Quarantine quarantine{ seconds(60) };
   Metrics metrics;
   Random random;
-  bool isDraining = false;
-  std::optional<DrainRule> draining; ///< While `isDraining`.
+  std::optional<DrainRule> draining; ///< Since the stop was asked for.
 };
 
 } // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/event_splitter.hpp
+++ b/gateway/include/laburnum/gateway/event_splitter.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "laburnum/http/sse.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -26,10 +28,10 @@
   std::vector<StreamEvent> add(std::string_view aBytes);
 
   /// True if a part of an event is held back. Pre: none.
-  bool isTorn() const { return !mPending.empty(); }
+  bool isTorn() const { return mCutter.isTorn(); }
 
 private:
-  std::string mPending;
+  http::EventCutter mCutter;
 };
 
 /// Checks that the ids of one answer's events follow on each other, over
--- a/gateway/include/laburnum/gateway/forwarding.hpp
+++ b/gateway/include/laburnum/gateway/forwarding.hpp
@@ -72,7 +72,6 @@
   std::shared_ptr<ServerConnection> mServer;
   Instant mSentAt{};
   http::Response mAnswer;
-  bool mHeadGood = false;
   bool mIsEvents = false;
   EventSplitter mSplitter;
   EventSequence mSequence;
--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -48,9 +48,6 @@
                                   Duration aEmptyPass,
                                   Instant aNow) const;
 
-  /// The smoothed time of a pass. Pre: none.
-  Duration pass() const { return fromSeconds(mPassMs / 1000); }
-
 private:
   double predicted(double aMsPerStream,
                    int aStreams,
--- a/gateway/include/laburnum/gateway/request_course.hpp
+++ b/gateway/include/laburnum/gateway/request_course.hpp
@@ -28,11 +28,9 @@
     { AttemptEnd::Answered, "answered" } }
 };
 
-/// Send to another server. A repeat draws on the retry allowance.
+/// Send to another server.
 struct SendAgain
-{
-  bool isRepeat = true;
-};
+{};
 /// Pass on what the server gave.
 struct PassAnswer
 {};
@@ -86,7 +84,7 @@
     }
     if (aEnd == AttemptEnd::NotSent && mUnsent < mOptions.maxUnsent &&
         aLeft > mOptions.leastTime) {
-      return SendAgain{ .isRepeat = mSendings > 0 };
+      return SendAgain{};
     }
     if (maySendAgain(aEnd, aLeft) && aTakeRepeat()) {
       return SendAgain{};
--- a/gateway/src/caller_connection.cpp
+++ b/gateway/src/caller_connection.cpp
@@ -87,6 +87,13 @@
   });
 }
 
+CallerLimits
+CallerConnection::limits() const
+{
+  return mContext.configuration ? mContext.configuration->limits
+                                : CallerLimits{};
+}
+
 void
 CallerConnection::waitForRequest()
 {
@@ -95,9 +102,7 @@
     readHead();
     return;
   }
-  const auto limits =
-    mContext.configuration ? mContext.configuration->limits : CallerLimits{};
-  setTimer(limits.idleTimeout, 0);
+  setTimer(limits().idleTimeout, 0);
   mSocket.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](ErrorCode aError) {
                        if (aError || self->mClosed) {
@@ -111,13 +116,12 @@
 void
 CallerConnection::readHead()
 {
-  const auto limits =
-    mContext.configuration ? mContext.configuration->limits : CallerLimits{};
+  const CallerLimits bounds = limits();
   mIsReading = true;
   mParser.emplace();
-  mParser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-  mParser->body_limit(limits.bodyBytes);
-  setTimer(limits.headerTimeout, 408);
+  mParser->header_limit(static_cast<std::uint32_t>(bounds.headerBytes));
+  mParser->body_limit(bounds.bodyBytes);
+  setTimer(bounds.headerTimeout, 408);
   bhttp::async_read_header(
     mSocket,
     mBuffer,
@@ -229,7 +233,7 @@
   if (mClosed) {
     return;
   }
-  mKeepAlive = mKeepAlive && !mContext.isDraining;
+  mKeepAlive = mKeepAlive && !mContext.draining;
   aResponse.keep_alive(mKeepAlive);
   if (!aResponse.has_content_length()) {
     aResponse.prepare_payload();
@@ -243,7 +247,7 @@
 void
 CallerConnection::beginEvents(bhttp::response<bhttp::empty_body> aHead)
 {
-  mKeepAlive = mKeepAlive && !mContext.isDraining;
+  mKeepAlive = mKeepAlive && !mContext.draining;
   aHead.keep_alive(mKeepAlive);
   aHead.chunked(true);
   mPending += headText(aHead);
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -129,7 +129,6 @@
   mCourse->sending();
   mContext.placement.begin(mServerId, mDemand);
   mSentAt = mContext.loop.now();
-  mHeadGood = false;
   mIsEvents = false;
   mAnswer = {};
   mSplitter = {};
@@ -155,14 +154,15 @@
   mAnswer.result(aEvent.head.result_int());
   copyEndToEnd(aEvent.head, mAnswer);
   const bool isSuccess = aEvent.head.result_int() / 100 == 2;
-  mHeadGood = mAnswer[mContext.names.attemptId] == mId &&
-              (!isSuccess || mAnswer.count(mContext.names.signature) > 0);
+  const bool isOurs =
+    mAnswer[mContext.names.attemptId] == mId &&
+    (!isSuccess || mAnswer.count(mContext.names.signature) > 0);
   mIsEvents =
-    isSuccess && isStream() && mHeadGood &&
+    isSuccess && isStream() && isOurs &&
     mAnswer[bhttp::field::content_type].starts_with("text/event-stream");
   // A server that has begun to answer is no longer one that may never do.
   mAttemptTimer.cancel();
-  if (!mHeadGood) {
+  if (!isOurs) {
     attemptEnded(AttemptEnd::Spoiled, "not the answer to this request");
   }
 }
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -124,7 +124,7 @@
 bool
 Gateway::isReady() const
 {
-  return !mContext.isDraining && mContext.configuration && mHasServers;
+  return !mContext.draining && mContext.configuration && mHasServers;
 }
 
 asio::awaitable<void>
@@ -211,11 +211,10 @@
 void
 Gateway::stopGracefully()
 {
-  if (mContext.isDraining) {
+  if (mContext.draining) {
     mLoop.stop();
     return;
   }
-  mContext.isDraining = true;
   mContext.draining =
     DrainRule{ .begun = mLoop.now(),
                .end = mLoop.now() + mSettings.gateway.stopGrace - kStopMargin };
--- a/http/src/sse.cpp
+++ b/http/src/sse.cpp
@@ -7,30 +7,16 @@
 dataOf(std::string_view aEvent)
 {
   std::string data;
-  while (!aEvent.empty()) {
-    const std::size_t end = aEvent.find('\n');
-    std::string_view line = aEvent.substr(0, end);
-    aEvent = end == std::string_view::npos ? std::string_view()
-                                           : aEvent.substr(end + 1);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
-    if (!line.starts_with("data:")) {
-      continue;
-    }
-    line.remove_prefix(5);
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    data.append(data.empty() ? "" : "\n").append(line);
-  }
+  eachField(aEvent, "data", [&data](std::string_view aLine) {
+    data.append(data.empty() ? "" : "\n").append(aLine);
+  });
   return data;
 }
 
 } // namespace
 
 std::vector<std::string>
-SseReader::add(std::string_view aBytes)
+EventCutter::add(std::string_view aBytes)
 {
   mPending.append(aBytes);
   std::vector<std::string> events;
@@ -46,17 +32,26 @@
     if (end == std::string::npos) {
       break;
     }
-    std::string data =
-      dataOf(std::string_view(mPending).substr(begin, end - begin));
-    if (!data.empty()) {
-      events.push_back(std::move(data));
-    }
+    events.push_back(mPending.substr(begin, end + skip - begin));
     begin = end + skip;
   }
   mPending.erase(0, begin);
   return events;
 }
 
+std::vector<std::string>
+SseReader::add(std::string_view aBytes)
+{
+  std::vector<std::string> all;
+  for (const std::string& event : mCutter.add(aBytes)) {
+    std::string data = dataOf(event);
+    if (!data.empty()) {
+      all.push_back(std::move(data));
+    }
+  }
+  return all;
+}
+
 std::string
 sseEvent(std::string_view aData)
 {
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -91,7 +91,6 @@
   Instant mPlannedAt{};
   Instant mCountsSince{};
   experts::GroupMap mInForce; ///< As of when all ranks were known last.
-  std::uint64_t mEpoch = 0;
   std::uint64_t mStepAt = 0;
   Instant mStepSeen{};
   Duration mPass = milliseconds(50);
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -30,10 +30,6 @@
 MapDuty::news(const RankNews& aNews, Instant aNow)
 {
   Rank& rank = mRanks[aNews.rank];
-  if (aNews.state.epoch != mEpoch && aNews.rank == mOwn) {
-    mEpoch = aNews.state.epoch;
-    // What was favoured before the group formed anew still is.
-  }
   if (aNews.rank == mOwn) {
     if (aNews.state.step > mStepAt && mStepAt > 0) {
       const Duration pass = (aNow - mStepSeen) / static_cast<std::int64_t>(
