Follow a shift of favour by many small changes of the map

Change: the copies of a change are bounded over all sets (120 ms a rank); a change that ranks still copy for gives place to a better one; ranks that copy are read every 20 ms; orders are sent again sooner; the planner keeps its potential by differences.

--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -1,13 +1,18 @@
 #pragma once
 
-#include "laburnum/experts/map_planner.hpp"
+#include "laburnum/experts/switch_note.hpp"
+
+#include <limits>
 
 namespace laburnum::experts {
 
 struct CopyPlanOptions
 {
   std::size_t placements = 1; ///< Experts that fit on a rank.
-  std::size_t newPerRank = 1; ///< Experts that one change may copy to a rank.
+  std::size_t newPerRank = 1; ///< Copied to a rank by one change, in a set.
+  /// As above, in all sets: a rank copies one expert after another, and the
+  /// former map holds until the last rank has done.
+  std::size_t newPerRankInAll = std::numeric_limits<std::size_t>::max();
   std::size_t maxCopies = 64; ///< Copies of one change, over all ranks.
   /// A step is worth a copy only if it lowers the largest load by this part of
   /// the mean.
@@ -24,4 +29,25 @@
            const std::vector<double>& aLoads,
            const CopyPlanOptions& aOptions);
 
+/// A changed map of all sets of layers.
+struct GroupPlan
+{
+  GroupMap map;
+  std::size_t copies = 0;
+  std::size_t mostOfRank = 0; ///< Copies to the rank that takes most.
+  double before = 0;          ///< Sum of the sets' skews with the present map.
+  double after = 0;           ///< As above, predicted with the new map.
+};
+
+/// As `planCopies` for all sets, the most uneven ones first. Pre: as many sets
+/// of loads as of the map; every expert has a copy. Thread safety: any thread.
+GroupPlan
+planGroupCopies(const GroupMap& aPresent,
+                const std::vector<std::vector<double>>& aLoads,
+                const CopyPlanOptions& aOptions);
+
+/// Sum of the sets' skews. Pre: as above. Thread safety: any thread.
+double
+skewOf(const GroupMap& aMap, const std::vector<std::vector<double>>& aLoads);
+
 } // namespace laburnum::experts
--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -80,10 +80,14 @@
   /// the group has to wait.
   Duration lead = milliseconds(120);
   Duration leadAfterLoss = milliseconds(600);
-  Duration lossMemory = seconds(12);  ///< The longest an order is late.
-  std::uint64_t leastLead = 2;        ///< Passes.
-  Duration again = milliseconds(100); ///< An order is sent again after it.
-  Duration prepareAgain = milliseconds(400);
+  Duration lossMemory = seconds(12); ///< The longest an order is late.
+  std::uint64_t leastLead = 2;       ///< Passes.
+  /// An order is sent again after it; the steward there answers within a few
+  /// ms and its engine at once.
+  Duration again = milliseconds(60);
+  /// As above, while copies end one by one: with half of the orders lost a
+  /// group of 16 takes five rounds.
+  Duration prepareAgain = milliseconds(150);
   Duration prepareTime = seconds(4); ///< Then the change is given up.
   Duration holdTime = milliseconds(900);
   Duration armTime = milliseconds(1500); ///< Then the change is undone.
@@ -126,7 +130,8 @@
              std::size_t aRanks,
              HeldSwitchOptions aOptions = {});
 
-  /// Begins a change to a map. Pre: `isIdle`; the version is new to all ranks.
+  /// Begins a change to a map, in place of one that ranks still prepare for.
+  /// Pre: `mayBegin`; the version is new to all ranks.
   void begin(std::uint64_t aVersion, GroupMap aMap, Instant aNow);
 
   /// Time passed or a state arrived. aStates has each rank's newest state;
@@ -140,6 +145,15 @@
     std::uint64_t aNewVersion,
     const GroupMap& aInForce);
 
+  /// True if nothing is held or armed for a change. Pre: none.
+  bool mayBegin() const
+  {
+    return mPhase == SwitchPhase::Idle || mPhase == SwitchPhase::Preparing;
+  }
+
+  /// The map of the change under way. Pre: not `isIdle`.
+  const GroupMap& wanted() const { return mMap; }
+
   bool isIdle() const { return mPhase == SwitchPhase::Idle; }
   SwitchPhase phase() const { return mPhase; }
   std::uint64_t version() const { return mVersion; }
--- a/experts/src/copy_planner.cpp
+++ b/experts/src/copy_planner.cpp
@@ -23,7 +23,8 @@
 public:
   Board(const ExpertMap& aPresent,
         const std::vector<double>& aLoads,
-        const CopyPlanOptions& aOptions)
+        const CopyPlanOptions& aOptions,
+        std::vector<std::size_t> aRoom)
     : mOptions(aOptions)
     , mLoads(aLoads)
     , mMap(aPresent)
@@ -31,6 +32,7 @@
     , mHolders(aLoads.size())
     , mRankLoads(aPresent.slots.size(), 0)
     , mNew(aPresent.slots.size(), 0)
+    , mRoom(std::move(aRoom))
   {
     for (std::size_t rank = 0; rank < mMap.slots.size(); ++rank) {
       for (const std::uint16_t expert : mMap.slots[rank]) {
@@ -44,6 +46,9 @@
             std::max<double>(1, static_cast<double>(mRankLoads.size()));
   }
 
+  /// Copies that each rank may still take in all sets. Pre: none.
+  const std::vector<std::size_t>& room() const { return mRoom; }
+
   double skew() const { return mMean <= 0 ? 1 : mRankLoads[hottest()] / mMean; }
 
   std::size_t hottest() const
@@ -59,12 +64,13 @@
     const std::size_t hot = hottest();
     std::optional<Change> best;
     double bestGain = 0;
-    const double before = potential();
+    const double before = mPotential;
     const auto offer = [&](const Change& aChange) {
       apply(aChange, hot);
       const double copies = aChange.isSwap ? 2 : 1;
-      const double gain = (before - potential()) / copies;
+      const double gain = (before - mPotential) / copies;
       revert(aChange, hot);
+      mPotential = before; // Sums of differences would drift.
       if (gain > bestGain) {
         bestGain = gain;
         best = aChange;
@@ -125,13 +131,15 @@
 
   bool mayTake(std::size_t aRank, std::uint16_t aExpert) const
   {
-    return isOriginal(aRank, aExpert) || mNew[aRank] < mOptions.newPerRank;
+    return isOriginal(aRank, aExpert) ||
+           (mNew[aRank] < mOptions.newPerRank && mRoom[aRank] > 0);
   }
 
   void count(std::size_t aRank, std::uint16_t aExpert)
   {
     if (!isOriginal(aRank, aExpert)) {
       ++mNew[aRank];
+      --mRoom[aRank];
       ++mMoves;
     }
   }
@@ -141,8 +149,10 @@
   {
     const auto& holders = mHolders[aExpert];
     for (const std::size_t rank : holders) {
-      mRankLoads[rank] +=
-        aSign * mLoads[aExpert] / static_cast<double>(holders.size());
+      double& load = mRankLoads[rank];
+      mPotential -= fourthPower(load);
+      load += aSign * mLoads[aExpert] / static_cast<double>(holders.size());
+      mPotential += fourthPower(load);
     }
   }
 
@@ -186,15 +196,9 @@
     remove(aChange.rank, aChange.added);
   }
 
-  /// Falls with every step towards an even load, most with the largest ones.
-  double potential() const
+  static double fourthPower(double aLoad)
   {
-    double sum = 0;
-    for (const double load : mRankLoads) {
-      const double square = load * load;
-      sum += square * square;
-    }
-    return sum;
+    return aLoad * aLoad * aLoad * aLoad;
   }
 
   const CopyPlanOptions& mOptions;
@@ -204,18 +208,22 @@
   std::vector<std::vector<std::size_t>> mHolders;
   std::vector<double> mRankLoads;
   std::vector<std::size_t> mNew;
+  std::vector<std::size_t> mRoom;
+  /// Sum of the ranks' loads to the fourth: falls with every step towards an
+  /// even load, most with the largest ones.
+  double mPotential = 0;
   double mMean = 0;
   std::size_t mMoves = 0;
 };
 
-} // namespace
-
+/// Plans one set; takes what it copies from the room of the ranks.
 MapPlan
-planCopies(const ExpertMap& aPresent,
+planWithin(const ExpertMap& aPresent,
            const std::vector<double>& aLoads,
-           const CopyPlanOptions& aOptions)
+           const CopyPlanOptions& aOptions,
+           std::vector<std::size_t>& aRoom)
 {
-  Board board(aPresent, aLoads, aOptions);
+  Board board(aPresent, aLoads, aOptions, aRoom);
   MapPlan plan{ .map = aPresent, .skew = board.skew() };
   while (board.moves() < aOptions.maxCopies) {
     const auto change = board.best();
@@ -231,6 +239,7 @@
       plan = { .map = board.map(),
                .moves = board.moves(),
                .skew = board.skew() };
+      aRoom = board.room();
     } else if (added > aPresent.slots.size()) {
       break;
     }
@@ -238,4 +247,55 @@
   return plan;
 }
 
+} // namespace
+
+MapPlan
+planCopies(const ExpertMap& aPresent,
+           const std::vector<double>& aLoads,
+           const CopyPlanOptions& aOptions)
+{
+  std::vector<std::size_t> room(aPresent.slots.size(),
+                                aOptions.newPerRankInAll);
+  return planWithin(aPresent, aLoads, aOptions, room);
+}
+
+GroupPlan
+planGroupCopies(const GroupMap& aPresent,
+                const std::vector<std::vector<double>>& aLoads,
+                const CopyPlanOptions& aOptions)
+{
+  GroupPlan plan{ .map = aPresent };
+  if (aPresent.empty()) {
+    return plan;
+  }
+  std::vector<std::pair<double, std::size_t>> order;
+  for (std::size_t set = 0; set < aPresent.size(); ++set) {
+    const double skew = skewOf(aPresent[set], aLoads[set]);
+    plan.before += skew;
+    order.emplace_back(-skew, set);
+  }
+  std::sort(order.begin(), order.end());
+  const std::size_t ranks = aPresent[0].slots.size();
+  std::vector<std::size_t> room(ranks, aOptions.newPerRankInAll);
+  for (const auto& [skew, set] : order) {
+    MapPlan one = planWithin(aPresent[set], aLoads[set], aOptions, room);
+    plan.after += one.skew;
+    plan.copies += one.moves;
+    plan.map[set] = std::move(one.map);
+  }
+  plan.mostOfRank =
+    aOptions.newPerRankInAll - *std::min_element(room.begin(), room.end());
+  return plan;
+}
+
+double
+skewOf(const GroupMap& aMap, const std::vector<std::vector<double>>& aLoads)
+{
+  double sum = 0;
+  for (std::size_t set = 0; set < aMap.size(); ++set) {
+    sum += skewOf(aMap[set], aLoads[set]);
+  }
+  return sum;
+}
+
 } // namespace laburnum::experts
--- /dev/null
+++ b/experts/tests/unit_copy_planner.cpp
@@ -0,0 +1,115 @@
+#include "laburnum/experts/copy_planner.hpp"
+#include "laburnum/kernel/random.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace laburnum;
+using namespace laburnum::experts;
+
+namespace {
+
+/// 16 ranks that hold 64 experts in turn, in a number of sets.
+GroupMap
+firstMap(std::size_t aSets)
+{
+  ExpertMap map;
+  for (std::uint16_t rank = 0; rank < 16; ++rank) {
+    map.slots.push_back({ rank,
+                          static_cast<std::uint16_t>(rank + 16),
+                          static_cast<std::uint16_t>(rank + 32),
+                          static_cast<std::uint16_t>(rank + 48) });
+  }
+  return GroupMap(aSets, map);
+}
+
+/// Experts that a rank holds in one map and not in another.
+std::size_t
+addedTo(const ExpertMap& aNew, const ExpertMap& aOld, std::size_t aRank)
+{
+  const auto& old = aOld.slots[aRank];
+  const auto& slots = aNew.slots[aRank];
+  return static_cast<std::size_t>(
+    std::count_if(slots.begin(), slots.end(), [&old](std::uint16_t aExpert) {
+      return std::find(old.begin(), old.end(), aExpert) == old.end();
+    }));
+}
+
+} // namespace
+
+TEST_CASE("copy_planner_oneHotExpert_copiesItToFreePlaces")
+{
+  // 8 experts on 4 ranks with one free place each; expert 0 draws half.
+  ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
+  std::vector<double> loads(8, 10);
+  loads[0] = 70;
+  const MapPlan plan =
+    planCopies(map, loads, { .placements = 3, .newPerRank = 1 });
+  CHECK(skewOf(map, loads) > 2);
+  CHECK(plan.skew < 1.3);
+  CHECK(plan.moves <= 4);
+  CHECK(plan.skew == Approx(skewOf(plan.map, loads)));
+}
+
+TEST_CASE("copy_planner_evenLoad_changesNothing")
+{
+  ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
+  const std::vector<double> loads(8, 10);
+  CHECK(planCopies(map, loads, { .placements = 3 }).moves == 0);
+}
+
+TEST_CASE("copy_planner_anyLoad_keepsEveryExpertAndTheBounds")
+{
+  Random random(3);
+  ExpertMap map = firstMap(1)[0];
+  for (int shift = 0; shift < 30; ++shift) {
+    std::vector<double> loads(64);
+    for (double& load : loads) {
+      load = random.exponential(1);
+    }
+    loads[random.below(64)] *= 20;
+    const MapPlan plan =
+      planCopies(map, loads, { .placements = 5, .newPerRank = 1 });
+    CHECK(plan.skew <= skewOf(map, loads));
+    std::set<std::uint16_t> held;
+    for (std::size_t rank = 0; rank < 16; ++rank) {
+      const auto& slots = plan.map.slots[rank];
+      CHECK(slots.size() <= 5);
+      CHECK(std::set(slots.begin(), slots.end()).size() == slots.size());
+      held.insert(slots.begin(), slots.end());
+      CHECK(addedTo(plan.map, map, rank) <= 1);
+    }
+    CHECK(held.size() == 64);
+    map = plan.map;
+  }
+}
+
+TEST_CASE("copy_planner_allSetsUneven_copiesOneExpertToARankInAll")
+{
+  // A shift of favour in four sets at once: the map that a rank copies four
+  // experts for comes four times as late.
+  Random random(5);
+  const GroupMap map = firstMap(4);
+  std::vector<std::vector<double>> loads(4, std::vector<double>(64, 1));
+  for (auto& set : loads) {
+    for (int favoured = 0; favoured < 6; ++favoured) {
+      set[random.below(64)] = 12;
+    }
+  }
+  const GroupPlan plan = planGroupCopies(
+    map, loads, { .placements = 5, .newPerRank = 2, .newPerRankInAll = 1 });
+  CHECK(plan.mostOfRank == 1);
+  CHECK(plan.after < plan.before);
+  CHECK(plan.after == Approx(skewOf(plan.map, loads)));
+  std::size_t copies = 0;
+  for (std::size_t rank = 0; rank < 16; ++rank) {
+    std::size_t added = 0;
+    for (std::size_t set = 0; set < 4; ++set) {
+      added += addedTo(plan.map[set], map[set], rank);
+    }
+    CHECK(added <= 1);
+    copies += added;
+  }
+  CHECK(copies == plan.copies);
+}
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -1,10 +1,8 @@
-#include "laburnum/experts/copy_planner.hpp"
 #include "laburnum/experts/held_switch.hpp"
 #include "laburnum/kernel/random.hpp"
 
 #include <catch2/catch.hpp>
 #include <deque>
-#include <set>
 
 using namespace laburnum;
 using namespace laburnum::experts;
@@ -74,6 +72,7 @@
   double lost = 0;    ///< Orders without an answer.
   double restart = 0; ///< Of the holder, in a tick.
   double unseen = 0;  ///< Reports that do not arrive, in a tick.
+  double anew = 0;    ///< A change is replaced while ranks prepare, in a tick.
   HeldSwitchRules rules;
 };
 
@@ -110,7 +109,8 @@
       if (mNow < mQuietUntil) {
         continue;
       }
-      if (mSwitch.isIdle() && mRandom.chance(0.05)) {
+      const double wish = mSwitch.isIdle() ? 0.05 : mWeather.anew;
+      if (mSwitch.mayBegin() && mRandom.chance(wish)) {
         mSwitch.begin(++mVersion, GroupMap(1), mNow);
       }
       for (const RankOrder& order :
@@ -238,6 +238,14 @@
   CHECK(outcome.changes > 300);
 }
 
+TEST_CASE("held_switch_changesReplacedWhilePreparing_neverMixesMaps")
+{
+  const Outcome outcome =
+    runAll(500, { .lost = 0.35, .restart = 0.01, .unseen = 0.5, .anew = 0.1 });
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.changes > 100);
+}
+
 TEST_CASE("held_switch_releasedBeforeAllAreArmed_mixesMaps")
 {
   const Outcome outcome =
@@ -263,62 +271,3 @@
     change.tick(Instant{} + kTick, { state }, kPass, 9, GroupMap(1)).empty());
   CHECK(change.isIdle());
 }
-
-TEST_CASE("copy_planner_oneHotExpert_copiesItToFreePlaces")
-{
-  // 8 experts on 4 ranks with one free place each; expert 0 draws half.
-  ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
-  std::vector<double> loads(8, 10);
-  loads[0] = 70;
-  const MapPlan plan =
-    planCopies(map, loads, { .placements = 3, .newPerRank = 1 });
-  CHECK(skewOf(map, loads) > 2);
-  CHECK(plan.skew < 1.3);
-  CHECK(plan.moves <= 4);
-  CHECK(plan.skew == Approx(skewOf(plan.map, loads)));
-}
-
-TEST_CASE("copy_planner_evenLoad_changesNothing")
-{
-  ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
-  const std::vector<double> loads(8, 10);
-  CHECK(planCopies(map, loads, { .placements = 3 }).moves == 0);
-}
-
-TEST_CASE("copy_planner_anyLoad_keepsEveryExpertAndTheBounds")
-{
-  Random random(3);
-  ExpertMap map;
-  for (std::uint16_t rank = 0; rank < 16; ++rank) {
-    map.slots.push_back({ rank,
-                          static_cast<std::uint16_t>(rank + 16),
-                          static_cast<std::uint16_t>(rank + 32),
-                          static_cast<std::uint16_t>(rank + 48) });
-  }
-  for (int shift = 0; shift < 30; ++shift) {
-    std::vector<double> loads(64);
-    for (double& load : loads) {
-      load = random.exponential(1);
-    }
-    loads[random.below(64)] *= 20;
-    const MapPlan plan =
-      planCopies(map, loads, { .placements = 5, .newPerRank = 1 });
-    CHECK(plan.skew <= skewOf(map, loads));
-    std::set<std::uint16_t> held;
-    for (std::size_t rank = 0; rank < 16; ++rank) {
-      const auto& slots = plan.map.slots[rank];
-      CHECK(slots.size() <= 5);
-      CHECK(std::set(slots.begin(), slots.end()).size() == slots.size());
-      held.insert(slots.begin(), slots.end());
-      int added = 0;
-      for (const std::uint16_t expert : slots) {
-        added +=
-          std::find(map.slots[rank].begin(), map.slots[rank].end(), expert) ==
-          map.slots[rank].end();
-      }
-      CHECK(added <= 1);
-    }
-    CHECK(held.size() == 64);
-    map = plan.map;
-  }
-}
--- a/gateway/include/laburnum/gateway/configuration.hpp
+++ b/gateway/include/laburnum/gateway/configuration.hpp
@@ -72,6 +72,7 @@
   int placements = 0;        ///< Experts that fit on a rank, in a set.
   double expertRatio = 0;    ///< Part of a token's work that experts do.
   int standby = 0;           ///< Experts that a change may copy to a rank.
+  Duration expertCopy{ 0 };  ///< Time to copy one expert to a rank.
 };
 
 struct Service
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -19,14 +19,22 @@
   Duration shortMemory = milliseconds(200);
   /// The short view holds if it finds the ranks so much less even.
   double shiftRatio = 1.25;
-  Duration settle = milliseconds(200); ///< Of counts, before a plan.
+  Duration settle = milliseconds(200); ///< Of the first counts.
   /// A change is worth it above this part of the time of a pass: passes take
-  /// 15 in 100 longer while experts are copied.
-  double leastGain = 0.03;
+  /// 15 in 100 longer while experts are copied, for half as long as the map
+  /// lasts if favour shifts soon.
+  double leastGain = 0.07;
+  /// A change under way gives place to another one only for this much.
+  double leastGainAnew = 0.1;
+  Duration copyTime = milliseconds(100); ///< Of one expert to a rank.
+  /// Of all copies that one change brings to a rank, at least one. The old map
+  /// holds until the last copy is there; two changes of one copy each help
+  /// sooner than one of two. 120 ms is the shortest pause between events that
+  /// the users' sheets allow.
+  Duration longestCopy = milliseconds(120);
   double expertRatio = 0.85; ///< Part of a pass that experts take.
   /// A rank whose state is older than this is not counted on.
   Duration fresh = milliseconds(1500);
-  std::size_t maxCopies = 32; ///< Of one change, in a set of layers.
 };
 
 /// A rank's report as the duty takes it in.
@@ -78,7 +86,9 @@
   };
   void addCounts(const RankNews& aNews, Instant aNow);
   void followShift();
-  bool plan(Instant aNow, std::uint64_t aVersion);
+  void plan(Instant aNow, std::uint64_t aVersion);
+  experts::CopyPlanOptions copyOptions() const;
+  double passOf(double aSkews) const;
   experts::GroupMap inForce() const;
 
   std::size_t mOwn;
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -39,6 +39,7 @@
   asio::awaitable<bool> readEngine(bool aWithCounts);
   asio::awaitable<void> carryOut(std::uint64_t aEpoch,
                                  experts::EngineOrder aOrder);
+  asio::awaitable<void> awaitPrepared(std::uint64_t aVersion);
   void report();
   bool isCountsDue() const;
   bool isNews() const;
@@ -77,6 +78,7 @@
   std::string mDutyGroup;
   std::map<std::size_t, LinkPtr> mRanks;
   std::uint64_t mVersion = 0;
+  std::uint64_t mPreparing = 0; ///< The version whose copies are awaited.
   std::uint64_t mReads = 0;
   std::uint64_t mLastRead = 0;
   experts::SwitchPhase mLogged = experts::SwitchPhase::Idle;
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -8,9 +8,6 @@
 
 /// Least time between two looks for a better map.
 constexpr Duration kPlanPeriod = milliseconds(100);
-/// Experts that one change brings to a rank in a set of layers. A rank copies
-/// them one after another, and until the last is there the old map holds.
-constexpr std::size_t kNewPerRank = 1;
 /// Share of a new pass time in the smoothed one.
 constexpr double kPassSmoothing = 0.3;
 
@@ -122,7 +119,7 @@
              : mSwitch.tick(aNow, states, mPass, aVersion, mInForce);
   }
   mInForce = inForce();
-  if (mSwitch.isIdle() && isSettled) {
+  if (mSwitch.mayBegin() && isSettled) {
     plan(aNow, aVersion);
   }
   return mSwitch.tick(aNow, states, mPass, aVersion, mInForce);
@@ -142,46 +139,48 @@
   }
 }
 
-bool
+experts::CopyPlanOptions
+MapDuty::copyOptions() const
+{
+  const auto inAll =
+    mOptions.copyTime > Duration(0)
+      ? static_cast<std::size_t>(mOptions.longestCopy / mOptions.copyTime)
+      : mOptions.standby * mInForce.size();
+  return { .placements = mOptions.placements,
+           .newPerRank = mOptions.standby,
+           .newPerRankInAll = std::max<std::size_t>(1, inAll),
+           .maxCopies = mRanks.size() * 2 };
+}
+
+double
+MapDuty::passOf(double aSkews) const
+{
+  const double sets = static_cast<double>(mInForce.size());
+  return 1 - mOptions.expertRatio + mOptions.expertRatio * aSkews / sets;
+}
+
+void
 MapDuty::plan(Instant aNow, std::uint64_t aVersion)
 {
   if (aNow - mPlannedAt < kPlanPeriod || mLoads.empty() ||
-      aNow - mCountsSince < mOptions.settle) {
-    return false;
+      aNow - mCountsSince < mOptions.settle ||
+      mInForce.size() != mLoads.size()) {
+    return;
   }
   mPlannedAt = aNow;
-  const experts::GroupMap& present = mInForce;
-  if (present.size() != mLoads.size()) {
-    return false;
-  }
   followShift();
-  experts::GroupMap next;
-  const experts::CopyPlanOptions options{ .placements = mOptions.placements,
-                                          .newPerRank = std::min(
-                                            kNewPerRank, mOptions.standby),
-                                          .maxCopies = mOptions.maxCopies };
-  double before = 0;
-  double after = 0;
-  std::size_t copies = 0;
-  for (std::size_t set = 0; set < present.size(); ++set) {
-    experts::MapPlan plan =
-      experts::planCopies(present[set], mLoads[set], options);
-    before += experts::skewOf(present[set], mLoads[set]);
-    after += plan.skew;
-    copies += plan.moves;
-    next.push_back(std::move(plan.map));
-  }
-  const double sets = static_cast<double>(present.size());
-  const double own = 1 - mOptions.expertRatio;
-  const double gain = 1 - (own + mOptions.expertRatio * after / sets) /
-                            (own + mOptions.expertRatio * before / sets);
-  mSkew = before / sets;
-  if (gain < mOptions.leastGain) {
-    return false;
+  experts::GroupPlan next =
+    experts::planGroupCopies(mInForce, mLoads, copyOptions());
+  mSkew = next.before / static_cast<double>(mInForce.size());
+  const bool isAnew = !mSwitch.isIdle();
+  const double without =
+    isAnew ? experts::skewOf(mSwitch.wanted(), mLoads) : next.before;
+  const double gain = 1 - passOf(next.after) / passOf(without);
+  if (gain < (isAnew ? mOptions.leastGainAnew : mOptions.leastGain)) {
+    return;
   }
-  mCopies = copies;
-  mSwitch.begin(aVersion, std::move(next), aNow);
-  return true;
+  mCopies = next.copies;
+  mSwitch.begin(aVersion, std::move(next.map), aNow);
 }
 
 } // namespace laburnum::steward
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -12,16 +12,23 @@
 
 /// Between two readings of the own engine. A hold that nobody waits for any
 /// more stalls the group until the next one.
-constexpr Duration kReadPeriod = milliseconds(150);
+constexpr Duration kReadPeriod = milliseconds(100);
+/// While experts are copied, so that the last copy does not wait to be seen
+/// for longer than a pass takes, 18 ms at least.
+constexpr Duration kPreparedPeriod = milliseconds(20);
+/// A copy takes less than half a second, and the usual reading goes on.
+constexpr Duration kPrepareWait = milliseconds(700);
 /// Without news, the keeper is told this often that the rank is there.
 constexpr Duration kTellPeriod = milliseconds(500);
-/// Counts of all ranks together, at the keeper: an eighth of the slowest link
+/// Counts of all ranks together, at the keeper: half of the slowest link
 /// that the users name for these instances, 8 Mbit/s.
-constexpr double kCountBytesPerSecond = 125000;
+constexpr double kCountBytesPerSecond = 500000;
 /// Maps kept to apply changes to: in force, prepared, and two given up.
 constexpr std::size_t kMapsKept = 4;
 /// Between two looks at a switch that is under way.
 constexpr Duration kSwitchPeriod = milliseconds(15);
+/// Between two looks for a better map.
+constexpr Duration kTickPeriod = milliseconds(50);
 /// A switch may go wrong with orders of a former life still under way; they
 /// come at most 12 s late, nearly all of them sooner.
 constexpr Duration kQuietStart = seconds(2);
@@ -345,10 +352,27 @@
   return map;
 }
 
+asio::awaitable<void>
+Steward::awaitPrepared(std::uint64_t aVersion)
+{
+  mPreparing = aVersion;
+  const Instant end = mLoop.now() + kPrepareWait;
+  while (mPreparing == aVersion && mReport.state.prepared != aVersion &&
+         mLoop.now() < end) {
+    co_await mLoop.sleep(kPreparedPeriod);
+    if (co_await readEngine(false)) {
+      report();
+    }
+  }
+}
+
 asio::awaitable<void>
 Steward::carryOut(std::uint64_t aEpoch, experts::EngineOrder aOrder)
 {
   const std::size_t kind = aOrder.index();
+  const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder);
+  const auto prepared =
+    prepare ? std::optional(prepare->version) : std::nullopt;
   const auto done = co_await mEngine.order(aEpoch, std::move(aOrder));
   if (!done || !*done) {
     log(LogLevel::Info,
@@ -360,6 +384,9 @@
   if (co_await readEngine(false)) {
     report();
   }
+  if (prepared && done && *done && mPreparing != *prepared) {
+    co_await awaitPrepared(*prepared);
+  }
 }
 
 void
@@ -477,7 +504,7 @@
       tickDuty();
     }
     const bool isBusy = mDuty && mDuty->isBusy();
-    co_await mLoop.sleep(isBusy ? kSwitchPeriod : kReadPeriod / 2);
+    co_await mLoop.sleep(isBusy ? kSwitchPeriod : kTickPeriod);
   }
 }
 
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -1,5 +1,6 @@
 #include "laburnum/steward/map_duty.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace laburnum;
@@ -19,6 +20,7 @@
   std::uint64_t version = 0;
   std::uint16_t favoured = 0;
   experts::GroupMap prepared;
+  bool copies = true; ///< Off: no rank ever ends its copies.
 
   GroupFixture()
   {
@@ -68,8 +70,10 @@
   void obey(experts::RankState& aState, const experts::EngineOrder& aOrder)
   {
     if (const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder)) {
-      aState.prepared = prepare->version;
       prepared = prepare->map;
+      if (copies) {
+        aState.prepared = prepare->version;
+      }
     } else if (const auto* arm = std::get_if<experts::ArmOrder>(&aOrder)) {
       aState.armed = arm->armed;
     } else if (const auto* hold = std::get_if<experts::HoldOrder>(&aOrder)) {
@@ -131,3 +135,23 @@
   group.tell(false);
   CHECK(group.duty.tick(group.now, 1).empty());
 }
+
+TEST_CASE("map_duty_favourShiftsWhileRanksCopy_replacesTheChange")
+{
+  GroupFixture group;
+  group.copies = false;
+  group.run(20);
+  const auto holders = [&group](std::uint16_t aExpert) {
+    std::size_t count = 0;
+    for (const auto& slots : group.prepared[0].slots) {
+      count += static_cast<std::size_t>(
+        std::count(slots.begin(), slots.end(), aExpert));
+    }
+    return count;
+  };
+  CHECK(holders(0) > 1);
+  CHECK(holders(5) == 1);
+  group.favoured = 5;
+  group.run(20);
+  CHECK(holders(5) > 1);
+}
