--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	@scripts/check_names.sh
 	@clang-format --dry-run -Werror $(SOURCES)
 	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
-	@git ls-files '*.cpp' | grep -v -E '/(tests|generated)/|fuzz' | xargs -P 6 -n 4 clang-tidy -p $(BUILD) --quiet
+	@git ls-files '*.cpp' | grep -v -E '/(tests|generated)/|fuzz' | xargs scripts/tidy.sh $(BUILD)
 
 fuzz: setup
 	@scripts/fuzz.sh
