Keep the experts of a rank sorted; read the list of engines only when needed

The keeper prepared the plan's order of a rank's experts, the others the order that the changes give; engines compare maps place by place. Change: a plan and what changes make of a map are sorted, as map 0 and what engines report are. Apart from that, only the keeper and stewards without a link to it read the list of engines (KeeperChoice); a steward that isn't the keeper ends the links of those that take it for one. steward.cpp is split: choice of the keeper, what is told.

--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -41,8 +41,9 @@
   double after = 0;           ///< As above, predicted with the new map.
 };
 
-/// As `planCopies` for all sets, the most uneven ones first. Pre: as many sets
-/// of loads as of the map; every expert has a copy. Thread safety: any thread.
+/// As `planCopies` for all sets, the most uneven ones first. The experts of
+/// each rank are sorted. Pre: as many sets of loads as of the map; every expert
+/// has a copy. Thread safety: any thread.
 GroupPlan
 planGroupCopies(const GroupMap& aPresent,
                 const std::vector<std::vector<double>>& aLoads,
--- a/experts/src/copy_planner.cpp
+++ b/experts/src/copy_planner.cpp
@@ -315,6 +315,9 @@
     plan.after += one.skew;
     plan.copies += one.moves;
     plan.map[set] = std::move(one.map);
+    for (auto& slots : plan.map[set].slots) {
+      std::sort(slots.begin(), slots.end());
+    }
   }
   plan.mostOfRank =
     aOptions.newPerRankInAll - *std::min_element(room.begin(), room.end());
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/contract/settings.hpp"
 #include "laburnum/steward/engine.hpp"
+#include "laburnum/steward/keeper_choice.hpp"
 #include "laburnum/steward/map_duty.hpp"
 #include "laburnum/wire/link.hpp"
 
@@ -25,9 +26,12 @@
 
   /// The engines of the service, the own one among them. The steward beside
   /// the one with the lowest address keeps the map. Pre: none.
-  void setEngines(std::vector<contract::Address> aEngines,
+  void setEngines(const std::vector<contract::Address>& aEngines,
                   MapDutyOptions aOptions);
 
+  /// True if the engines have to be told anew. Pre: none.
+  bool needsEngines() const { return mKeeper.needsList(mLoop.now()); }
+
   /// Ends the loop. Pre: none.
   void stop();
 
@@ -54,7 +58,7 @@
   const std::vector<wire::RankChange>& changesTo(
     const experts::PrepareOrder& aPrepare);
   void tickDuty();
-  bool isKeeper() const { return mKeeper == mSettings.server.address; }
+  bool isKeeper() const { return mKeeper.isOwn(); }
   std::uint64_t nextVersion();
 
   Loop& mLoop;
@@ -62,7 +66,7 @@
   Engine& mEngine;
   wire::Identity mIdentity;
   std::optional<wire::LinkListener> mListener;
-  contract::Address mKeeper;
+  KeeperChoice mKeeper;
   MapDutyOptions mOptions;
   LinkPtr mToKeeper;
   bool mIsConnecting = false;
--- a/steward/src/frames.cpp
+++ b/steward/src/frames.cpp
@@ -160,7 +160,9 @@
     auto& slots = aMap[change.set()].slots[change.rank()];
     std::erase(slots, change.dropped());
     if (change.added() != kNoExpert) {
-      slots.push_back(change.added());
+      // Sorted as in a plan: engines compare maps place by place.
+      slots.insert(std::upper_bound(slots.begin(), slots.end(), change.added()),
+                   change.added());
     }
   }
   return true;
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -1,5 +1,6 @@
 #include "laburnum/steward/steward.hpp"
 
+#include "constants.hpp"
 #include "frames.hpp"
 
 #include "laburnum/kernel/log.hpp"
@@ -10,19 +11,11 @@
 namespace laburnum::steward {
 namespace {
 
-/// Between two readings of the own engine. A hold that nobody waits for any
-/// more stalls the group until the next one.
-constexpr Duration kReadPeriod = milliseconds(100);
 /// While experts are copied, so that the last copy does not wait to be seen
 /// for longer than a pass takes, 18 ms at least.
 constexpr Duration kPreparedPeriod = milliseconds(20);
 /// A copy takes less than half a second, and the usual reading goes on.
 constexpr Duration kPrepareWait = milliseconds(700);
-/// Without news, the keeper is told this often that the rank is there.
-constexpr Duration kTellPeriod = milliseconds(500);
-/// Counts of all ranks together, at the keeper: a quarter of the slowest link
-/// that the users name for these instances, 8 Mbit/s.
-constexpr double kCountBytesPerSecond = 250000;
 /// Maps kept to apply changes to: in force, prepared, and two given up.
 constexpr std::size_t kMapsKept = 4;
 /// Between two looks at a switch that is under way.
@@ -33,15 +26,6 @@
 /// come at most 12 s late, nearly all of them sooner.
 constexpr Duration kQuietStart = seconds(2);
 
-bool
-isBefore(const contract::Address& aLeft, const contract::Address& aRight)
-{
-  boost::system::error_code ignored; // Addresses were checked when parsed.
-  const auto left = asio::ip::make_address(aLeft.host, ignored);
-  const auto right = asio::ip::make_address(aRight.host, ignored);
-  return std::tie(left, aLeft.port) < std::tie(right, aRight.port);
-}
-
 } // namespace
 
 Steward::Steward(Loop& aLoop,
@@ -55,6 +39,7 @@
                .role = aSettings.role,
                .domain = aSettings.failureDomain,
                .controlKey = aSettings.controlKey }
+  , mKeeper(aSettings.server.address)
 {
 }
 
@@ -104,24 +89,22 @@
 }
 
 void
-Steward::setEngines(std::vector<contract::Address> aEngines,
+Steward::setEngines(const std::vector<contract::Address>& aEngines,
                     MapDutyOptions aOptions)
 {
   mOptions = aOptions;
-  const auto first =
-    std::min_element(aEngines.begin(), aEngines.end(), isBefore);
-  if (first == aEngines.end() || *first == mKeeper) {
-    return;
-  }
   if (mDuty && mDuty->isBusy()) {
     return; // What was begun is ended first; the next reading asks again.
   }
+  const contract::Address former = mKeeper.keeper();
+  if (!mKeeper.choose(aEngines, mLoop.now())) {
+    return;
+  }
   log(LogLevel::Info,
       "map_keeper_changed",
-      { { "former", mKeeper.text() },
-        { "keeper", first->text() },
+      { { "former", former.text() },
+        { "keeper", mKeeper.keeper().text() },
         { "engines", aEngines.size() } });
-  mKeeper = *first;
   mDuty.reset();
   if (mToKeeper) {
     mToKeeper->close(Error::ServerLost, "another steward keeps the map");
@@ -132,12 +115,12 @@
 void
 Steward::connect()
 {
-  if (isKeeper() || mKeeper.port == 0 || mToKeeper || mIsConnecting) {
+  if (isKeeper() || !mKeeper.isKnown() || mToKeeper || mIsConnecting) {
     return;
   }
   mIsConnecting = true;
   // Stewards listen on the same port on every instance.
-  const contract::Address address{ .host = mKeeper.host,
+  const contract::Address address{ .host = mKeeper.keeper().host,
                                    .port = mSettings.control.port };
   wire::connectLink(
     mLoop,
@@ -148,6 +131,7 @@
         [this](const LinkPtr& aLink) {
           mIsConnecting = false;
           mToKeeper = aLink;
+          mKeeper.linked();
           mHasToldExperts = false;
           report();
         },
@@ -161,6 +145,7 @@
           if (aLink == mToKeeper) {
             mToKeeper.reset();
           }
+          mKeeper.unlinked(mLoop.now());
         } });
 }
 
@@ -231,106 +216,6 @@
   co_return true;
 }
 
-bool
-Steward::isCountsDue() const
-{
-  // So many ranks tell their counts that all of them together keep to the
-  // bound; the ranks' requests are alike, so a part tells of all.
-  const double bytes = static_cast<double>(mLast.counts.size()) *
-                       static_cast<double>(mReport.size);
-  const Duration period =
-    std::max<Duration>(kReadPeriod, fromSeconds(bytes / kCountBytesPerSecond));
-  return mLoop.now() - mCountsToldAt >= period;
-}
-
-bool
-Steward::isNews() const
-{
-  const auto& state = mReport.state;
-  return !mHasToldExperts || state.epoch != mTold.epoch ||
-         state.inForce != mTold.inForce || state.prepared != mTold.prepared ||
-         state.armed != mTold.armed || state.held != mTold.held;
-}
-
-bool
-Steward::knowsMap() const
-{
-  return mMaps.contains(mReport.state.inForce);
-}
-
-void
-Steward::addCounts(wire::RankReportT& aFrame)
-{
-  const std::size_t sets = mHolding.experts.size();
-  if (sets == 0 || mFresh.empty() || mFresh.size() % sets != 0) {
-    return;
-  }
-  const std::size_t experts = mFresh.size() / sets;
-  for (std::size_t set = 0; set < sets; ++set) {
-    const auto begin =
-      mFresh.begin() + static_cast<std::ptrdiff_t>(set * experts);
-    const auto most =
-      *std::max_element(begin, begin + static_cast<std::ptrdiff_t>(experts));
-    const double scale = std::max(1.0, most / 255.0);
-    aFrame.scales.push_back(static_cast<float>(scale));
-    for (std::size_t expert = 0; expert < experts; ++expert) {
-      aFrame.counts.push_back(
-        static_cast<std::uint8_t>(mFresh[set * experts + expert] / scale));
-    }
-  }
-  mFresh.clear();
-  mCountsToldAt = mLoop.now();
-}
-
-void
-Steward::report()
-{
-  if (mReport.group.empty() || mHolding.version != mReport.state.inForce ||
-      !(isKeeper() || mToKeeper)) {
-    return;
-  }
-  const bool isDue = isCountsDue();
-  if (!isDue && !isNews() && mLoop.now() - mToldAt < kTellPeriod) {
-    return;
-  }
-  const auto& state = mReport.state;
-  wire::RankReportT frame;
-  frame.group = mReport.group;
-  frame.epoch = state.epoch;
-  frame.rank = static_cast<std::uint32_t>(mReport.rank);
-  frame.size = static_cast<std::uint32_t>(mReport.size);
-  frame.open = mReport.isOpen;
-  frame.step = state.step;
-  frame.in_force = state.inForce;
-  frame.prepared = orNone(state.prepared);
-  if (state.armed) {
-    frame.armed_version = static_cast<std::int64_t>(state.armed->version);
-    frame.armed_step = static_cast<std::int64_t>(state.armed->step);
-  }
-  frame.held = orNone(state.held);
-  frame.knows_map = knowsMap();
-  if (!mHasToldExperts || state.inForce != mTold.inForce ||
-      state.epoch != mTold.epoch) {
-    frame.experts = std::make_unique<wire::LayerMapT>();
-    for (const auto& set : mHolding.experts) {
-      auto experts = std::make_unique<wire::RankExpertsT>();
-      experts->experts = set;
-      frame.experts->ranks.push_back(std::move(experts));
-    }
-  }
-  if (isDue) {
-    addCounts(frame);
-  }
-  mHasToldExperts = true;
-  mTold = state;
-  mToldAt = mLoop.now();
-  if (isKeeper()) {
-    takeNews(nullptr, frame);
-  } else {
-    mToKeeper->send(std::move(frame));
-  }
-}
-
 std::optional<experts::GroupMap>
 Steward::mapOf(const wire::RankOrderT& aFrame)
 {
@@ -427,6 +312,10 @@
 void
 Steward::takeNews(const LinkPtr& aLink, const wire::RankReportT& aReport)
 {
+  if (aLink && mKeeper.isKnown() && !isKeeper()) {
+    aLink->close(Error::ServerLost, "another steward keeps the map");
+    return;
+  }
   if (!isKeeper() || mReport.group.empty() || aReport.group != mReport.group ||
       aReport.rank >= aReport.size || aReport.size != mReport.size) {
     return;
