Suspect a request of a crash only if its server is gone; soak gateways with faults

Ruled out: the store's connection (configuration and servers were known), the pause of servers after losses (it ends within 4 s).

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 
 BUILD ?= build
 SEED ?= 1
+SECONDS ?= 60
 SOURCES = $(shell git ls-files '*.cpp' '*.hpp' | grep -v /generated/)
 
-.PHONY: setup build demo test sanitize bench format lint fuzz generate
+.PHONY: setup build demo test soak sanitize bench format lint fuzz generate
 
 setup:
 	@scripts/setup.sh
@@ -19,6 +20,9 @@
 test: build
 	@scripts/test.sh $(BUILD)
 
+soak: build
+	@platform/tests/soak.py $(BUILD)/apps/laburnumd --seed $(SEED) --seconds $(SECONDS)
+
 sanitize: setup
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DLABURNUM_SANITIZE=ON -DLABURNUM_BUILD_BENCH=OFF -DCMAKE_BUILD_TYPE=Debug >/dev/null
 	@ninja -C $(BUILD)-sanitize
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/gateway/configuration.hpp"
+#include "laburnum/gateway/crash_watch.hpp"
 #include "laburnum/gateway/drain_rule.hpp"
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/placement.hpp"
@@ -8,6 +9,7 @@
 #include "laburnum/gateway/retry_allowance.hpp"
 #include "laburnum/gateway/server_list.hpp"
 #include "laburnum/gateway/server_pool.hpp"
+#include "laburnum/kernel/log.hpp"
 #include "laburnum/kernel/metrics.hpp"
 #include "laburnum/kernel/random.hpp"
 #include "laburnum/policy/quarantine.hpp"
@@ -40,6 +42,19 @@
     return allowances.try_emplace(aService, retries).first->second;
   }
 
+  /// A server can't be reached, or its entry is gone: what it may have crashed
+  /// on is suspected. Pre: none.
+  void serverGone(const std::string& aServer, Instant aNow)
+  {
+    const auto suspects = crashes.gone(aServer, aNow);
+    if (!suspects.empty()) {
+      log(LogLevel::Warn,
+          "server_crashed",
+          { { "server", aServer }, { "in_progress", suspects.size() } });
+      quarantine.crashed(suspects, aNow);
+    }
+  }
+
   Loop& loop;
   HeaderNames names;
   std::shared_ptr<const Configuration> configuration; ///< Null: none yet.
@@ -50,6 +65,7 @@
   std::map<std::string, RetryAllowance> allowances;
   std::map<std::string, GroupAdmission> admissions;
   std::map<std::string, int> streams; ///< In progress, by service.
+  CrashWatch crashes;
   policy::Quarantine quarantine{ seconds(60) };
   Metrics metrics;
   Random random;
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -249,9 +249,11 @@
 void
 Forwarding::on(const ConnectionLost& aEvent)
 {
-  if (aEvent.isSent && !mEventsBegun) {
-    mContext.quarantine.crashed(std::array{ mFingerprint },
-                                mContext.loop.now());
+  const Instant now = mContext.loop.now();
+  if (!aEvent.isSent) {
+    mContext.serverGone(mServerId, now);
+  } else if (!mEventsBegun) {
+    mContext.crashes.lost(mServerId, mFingerprint, now);
   }
   attemptEnded(aEvent.isSent ? AttemptEnd::Lost : AttemptEnd::NotSent,
                aEvent.reason);
@@ -268,6 +270,10 @@
   mServer = nullptr;
   const Instant now = mContext.loop.now();
   mContext.placement.end(mServerId, mDemand, aEnd, now - mSentAt, now);
+  if (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::Failed ||
+      aEnd == AttemptEnd::Rejected) {
+    mContext.crashes.answered(mServerId, mSentAt);
+  }
   if (aEnd != AttemptEnd::Answered && aEnd != AttemptEnd::Failed &&
       aEnd != AttemptEnd::Rejected) {
     server->abort();
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -171,6 +171,7 @@
         { { "server", id }, { "reason", aReason } });
     mContext.pool.drop(id);
     mContext.placement.forgetServer(id);
+    mContext.serverGone(id, mLoop.now());
   }
 }
 
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -1,4 +1,5 @@
 #include "laburnum/gateway/configuration.hpp"
+#include "laburnum/gateway/crash_watch.hpp"
 #include "laburnum/gateway/drain_rule.hpp"
 #include "laburnum/gateway/event_splitter.hpp"
 #include "laburnum/gateway/group_admission.hpp"
@@ -385,3 +386,29 @@
   const Instant early = kStart + seconds(1);
   CHECK(rule.takes(early, early + seconds(8)));
 }
+
+TEST_CASE("crash_watch_serverAnswersLater_suspectsNobody")
+{
+  // A link resets connections while all callers ask for one list of visits.
+  CrashWatch watch;
+  const Instant start{ seconds(100) };
+  watch.lost("i-1", 7, start);
+  watch.lost("i-1", 7, start + milliseconds(10));
+  watch.answered("i-1", start + milliseconds(20));
+  CHECK(watch.gone("i-1", start + seconds(1)).empty());
+}
+
+TEST_CASE("crash_watch_serverCannotBeReached_suspectsWhatWasInProgress")
+{
+  CrashWatch watch;
+  const Instant start{ seconds(100) };
+  watch.lost("i-1", 7, start);
+  watch.lost("i-1", 8, start);
+  watch.lost("i-2", 9, start);
+  // An answer to a request sent before the loss says nothing of it.
+  watch.answered("i-1", start - milliseconds(1));
+  CHECK(watch.gone("i-1", start + seconds(1)) ==
+        std::vector<std::uint64_t>{ 7, 8 });
+  CHECK(watch.gone("i-1", start + seconds(1)).empty());
+  CHECK(watch.gone("i-2", start + seconds(6)).empty());
+}
