--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,10 @@
 SECONDS ?= 60
 SOURCES = $(shell git ls-files '*.cpp' '*.hpp' | grep -v /generated/)
 
+# Builds of several clones share what is compiled.
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= 1
+
 .PHONY: setup build demo test soak sanitize bench format lint fuzz generate
 
 setup:
