Ask a rank again for what a new keeper does not know

Ranks tell their experts once a link; a keeper that had started but had not read the list of engines dropped these reports, so it never knew all ranks and never released the step. Ruled out: the hold itself (it was undone 0.5 s after all ranks were known), late orders alone (three switches went through them). Change: a steward that cannot use a report, or does not know the rank's experts, ends the link; over a new one all is told.

--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -66,6 +66,10 @@
   /// Takes in a rank's report. Pre: the rank is below the number of ranks.
   void news(const RankNews& aNews, Instant aNow);
 
+  /// True if the report tells the rank's experts, or an earlier one told those
+  /// of the same map. A keeper that starts anew knows none. Pre: as above.
+  bool knowsExperts(const RankNews& aNews) const;
+
   /// A rank's steward is no longer in touch. Pre: as above.
   void lost(std::size_t aRank);
 
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -53,6 +53,7 @@
   void connect();
   void received(const LinkPtr& aLink, wire::AnyMessage&& aMessage);
   void closed(const LinkPtr& aLink);
+  void askAgain(const LinkPtr& aLink, std::string_view aReason);
   void takeNews(const LinkPtr& aLink, const wire::RankReportT& aReport);
   void send(const experts::RankOrder& aOrder);
   const std::vector<wire::RankChange>& changesTo(
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -60,6 +60,15 @@
   rank.at = aNow;
 }
 
+bool
+MapDuty::knowsExperts(const RankNews& aNews) const
+{
+  const auto& known = mRanks[aNews.rank].news;
+  return !aNews.experts.empty() ||
+         (known && known->state.inForce == aNews.state.inForce &&
+          !known->experts.empty());
+}
+
 void
 MapDuty::lost(std::size_t aRank)
 {
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -309,15 +309,25 @@
   }
 }
 
+void
+Steward::askAgain(const LinkPtr& aLink, std::string_view aReason)
+{
+  if (aLink) {
+    log(LogLevel::Info, "rank_asked_again", { { "reason", aReason } });
+    aLink->close(Error::ServerLost, std::string(aReason));
+  }
+}
+
 void
 Steward::takeNews(const LinkPtr& aLink, const wire::RankReportT& aReport)
 {
-  if (aLink && mKeeper.isKnown() && !isKeeper()) {
-    aLink->close(Error::ServerLost, "another steward keeps the map");
+  if (!isKeeper() || mReport.group.empty()) {
+    // What is told once a link would be lost; over a new one all is told.
+    askAgain(aLink, "not the keeper of a map");
     return;
   }
-  if (!isKeeper() || mReport.group.empty() || aReport.group != mReport.group ||
-      aReport.rank >= aReport.size || aReport.size != mReport.size) {
+  if (aReport.group != mReport.group || aReport.rank >= aReport.size ||
+      aReport.size != mReport.size) {
     return;
   }
   if (!mDuty || mDutyGroup != mReport.group) {
@@ -325,6 +335,10 @@
     mDutyGroup = mReport.group;
   }
   const RankNews news = newsOf(aReport);
+  if (!mDuty->knowsExperts(news)) {
+    askAgain(aLink, "experts of the rank not known");
+    return;
+  }
   mKnowsMap[aReport.rank] = aReport.knows_map;
   if (aLink) {
     mRanks[aReport.rank] = aLink;
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -155,3 +155,19 @@
   group.run(20);
   CHECK(holders(5) > 1);
 }
+
+TEST_CASE("map_duty_keeperStartedAnew_doesNotKnowWhatWasToldBefore")
+{
+  // A keeper that was killed while it held a step: ranks go on telling
+  // changes of state only, and nobody would ever release the step.
+  GroupFixture group;
+  RankNews news = group.ranks[1];
+  group.tell();
+  news.experts.clear();
+  CHECK(group.duty.knowsExperts(news));
+  const MapDuty anew(0, kRanks, { .placements = 3 });
+  CHECK_FALSE(anew.knowsExperts(news));
+  CHECK(anew.knowsExperts(group.ranks[1]));
+  news.state.inForce = 9;
+  CHECK_FALSE(group.duty.knowsExperts(news));
+}
