--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -148,12 +148,8 @@
 bool
 MapDuty::followShift()
 {
-  double smooth = 0;
-  double recent = 0;
-  for (std::size_t set = 0; set < mInForce.size(); ++set) {
-    smooth += experts::skewOf(mInForce[set], mLoads[set]);
-    recent += experts::skewOf(mInForce[set], mRecent[set]);
-  }
+  const double smooth = experts::skewOf(mInForce, mLoads);
+  const double recent = experts::skewOf(mInForce, mRecent);
   const bool isShift = recent > smooth * mOptions.shiftRatio;
   if (isShift) {
     mLoads = mRecent;
