--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -21,16 +21,6 @@
   double leastGain = 0.04;
 };
 
-/// Improves the map of one set of layers by copies of hot experts, into places
-/// that are free or hold an expert that another rank holds too, and by swaps.
-/// Answers the load in which a few experts draw most of the work and others
-/// do a few seconds later: few copies, the ones that relieve most first.
-/// Pre: every expert has a copy. Thread safety: any thread.
-MapPlan
-planCopies(const ExpertMap& aPresent,
-           const std::vector<double>& aLoads,
-           const CopyPlanOptions& aOptions);
-
 /// A changed map of all sets of layers.
 struct GroupPlan
 {
@@ -41,13 +31,16 @@
   double after = 0;           ///< As above, predicted with the new map.
 };
 
-/// As `planCopies` for all sets, the most uneven ones first. The experts of
-/// each rank are sorted. Pre: as many sets of loads as of the map; every expert
-/// has a copy. Thread safety: any thread.
+/// Improves the map of a group by copies of hot experts, into places that are
+/// free or hold an expert that another rank holds too, and by swaps; the most
+/// uneven sets first. The experts of each rank are sorted. Answers the load in
+/// which a few experts draw most of the work and others do a few seconds
+/// later: few copies, the ones that relieve most first. Pre: as many sets of
+/// loads as of the map; every expert has a copy. Thread safety: any thread.
 GroupPlan
-planGroupCopies(const GroupMap& aPresent,
-                const std::vector<std::vector<double>>& aLoads,
-                const CopyPlanOptions& aOptions);
+planCopies(const GroupMap& aPresent,
+           const std::vector<std::vector<double>>& aLoads,
+           const CopyPlanOptions& aOptions);
 
 /// Sum of the sets' skews. Pre: as above. Thread safety: any thread.
 double
--- a/experts/src/copy_planner.cpp
+++ b/experts/src/copy_planner.cpp
@@ -278,20 +278,10 @@
 
 } // namespace
 
-MapPlan
-planCopies(const ExpertMap& aPresent,
-           const std::vector<double>& aLoads,
-           const CopyPlanOptions& aOptions)
-{
-  std::vector<std::size_t> room(aPresent.slots.size(),
-                                aOptions.newPerRankInAll);
-  return planWithin(aPresent, aLoads, aOptions, room);
-}
-
 GroupPlan
-planGroupCopies(const GroupMap& aPresent,
-                const std::vector<std::vector<double>>& aLoads,
-                const CopyPlanOptions& aOptions)
+planCopies(const GroupMap& aPresent,
+           const std::vector<std::vector<double>>& aLoads,
+           const CopyPlanOptions& aOptions)
 {
   GroupPlan plan{ .map = aPresent };
   if (aPresent.empty()) {
--- a/experts/tests/unit_copy_planner.cpp
+++ b/experts/tests/unit_copy_planner.cpp
@@ -44,19 +44,19 @@
   ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
   std::vector<double> loads(8, 10);
   loads[0] = 70;
-  const MapPlan plan =
-    planCopies(map, loads, { .placements = 3, .newPerRank = 1 });
+  const GroupPlan plan =
+    planCopies({ map }, { loads }, { .placements = 3, .newPerRank = 1 });
   CHECK(skewOf(map, loads) > 2);
-  CHECK(plan.skew < 1.3);
-  CHECK(plan.moves <= 4);
-  CHECK(plan.skew == Approx(skewOf(plan.map, loads)));
+  CHECK(plan.after < 1.3);
+  CHECK(plan.copies <= 4);
+  CHECK(plan.after == Approx(skewOf(plan.map[0], loads)));
 }
 
 TEST_CASE("copy_planner_evenLoad_changesNothing")
 {
   ExpertMap map{ .slots = { { 0, 4 }, { 1, 5 }, { 2, 6 }, { 3, 7 } } };
   const std::vector<double> loads(8, 10);
-  CHECK(planCopies(map, loads, { .placements = 3 }).moves == 0);
+  CHECK(planCopies({ map }, { loads }, { .placements = 3 }).copies == 0);
 }
 
 TEST_CASE("copy_planner_anyLoad_keepsEveryExpertAndTheBounds")
@@ -69,19 +69,19 @@
       load = random.exponential(1);
     }
     loads[random.below(64)] *= 20;
-    const MapPlan plan =
-      planCopies(map, loads, { .placements = 5, .newPerRank = 1 });
-    CHECK(plan.skew <= skewOf(map, loads));
+    const GroupPlan plan =
+      planCopies({ map }, { loads }, { .placements = 5, .newPerRank = 1 });
+    CHECK(plan.after <= skewOf(map, loads));
     std::set<std::uint16_t> held;
     for (std::size_t rank = 0; rank < 16; ++rank) {
-      const auto& slots = plan.map.slots[rank];
+      const auto& slots = plan.map[0].slots[rank];
       CHECK(slots.size() <= 5);
       CHECK(std::set(slots.begin(), slots.end()).size() == slots.size());
       held.insert(slots.begin(), slots.end());
-      CHECK(addedTo(plan.map, map, rank) <= 1);
+      CHECK(addedTo(plan.map[0], map, rank) <= 1);
     }
     CHECK(held.size() == 64);
-    map = plan.map;
+    map = plan.map[0];
   }
 }
 
@@ -97,7 +97,7 @@
       set[random.below(64)] = 12;
     }
   }
-  const GroupPlan plan = planGroupCopies(
+  const GroupPlan plan = planCopies(
     map, loads, { .placements = 5, .newPerRank = 2, .newPerRankInAll = 1 });
   CHECK(plan.mostOfRank == 1);
   CHECK(plan.after < plan.before);
@@ -126,8 +126,8 @@
     }
   }
   const CopyPlanOptions unbounded{ .placements = 5, .leastGain = 0.005 };
-  CHECK(planGroupCopies(map, loads, unbounded).copies > 21);
-  const GroupPlan plan = planGroupCopies(
+  CHECK(planCopies(map, loads, unbounded).copies > 21);
+  const GroupPlan plan = planCopies(
     map, loads, { .placements = 5, .maxCopiesInAll = 20, .leastGain = 0.005 });
   // A swap copies two experts at once.
   CHECK(plan.copies <= 21);
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -195,7 +195,7 @@
     return;
   }
   experts::GroupPlan next =
-    experts::planGroupCopies(mInForce, mLoads, copyOptions());
+    experts::planCopies(mInForce, mLoads, copyOptions());
   mSkew = next.before / static_cast<double>(mInForce.size());
   const double without =
     isAnew ? experts::skewOf(mSwitch.wanted(), mLoads) : next.before;
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -6,7 +6,6 @@
 #include "laburnum/kernel/log.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 
 namespace laburnum::steward {
 namespace {
--- a/steward/tests/unit_frames.cpp
+++ b/steward/tests/unit_frames.cpp
@@ -44,7 +44,7 @@
         load = random.exponential(1);
       }
     }
-    const auto plan = experts::planGroupCopies(
+    const auto plan = experts::planCopies(
       map, loads, { .placements = 5, .newPerRank = 2, .leastGain = 0.01 });
     CHECK(plan.copies > 0);
     experts::GroupMap told = map;
