Let a keeper ask its own rank again as well

Cause, found by reading: a keeper that lacks a rank's experts ends that rank's link, but its own rank has none, so what it had told once (to another keeper, or for another group) was never told again, no map was changed any more, and a held step was not released. Ruled out: clearing the mark wherever a duty starts anew; asking again is the one place where it is known that something lacks. Change: askAgain without a link has the own rank tell everything with its next report. Before: steward_ownGroupChangesItsName_stillKnowsItsOwnExperts fails after its bound of 15 s. After: it passes, as do all tests of the steward.

--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -311,9 +311,11 @@
 void
 Steward::askAgain(const LinkPtr& aLink, std::string_view aReason)
 {
+  log(LogLevel::Info, "rank_asked_again", { { "reason", aReason } });
   if (aLink) {
-    log(LogLevel::Info, "rank_asked_again", { { "reason", aReason } });
     aLink->close(Error::ServerLost, std::string(aReason));
+  } else {
+    mHasToldExperts = false; // The own rank tells without a link.
   }
 }
 
