--- a/gateway/include/laburnum/gateway/forwarding.hpp
+++ b/gateway/include/laburnum/gateway/forwarding.hpp
@@ -26,7 +26,16 @@
   void callerGone();
 
 private:
+  // Steps of admission, in order; each that returns false has refused.
   bool admit();
+  bool chooseRoute();
+  bool authenticate();
+  bool setDeadline();
+  bool chooseService();
+  bool isTrusted();
+  void readDemand();
+  bool hasRoom();
+
   void place();
   void send(const ServerRecord& aServer);
   http::Request outgoing(const ServerRecord& aServer) const;
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -51,29 +51,59 @@
     refuse(503, { .error = Error::NotReady, .retryAfter = kNoServerWait });
     return false;
   }
+  if (!chooseRoute() || !authenticate() || !setDeadline() || !chooseService() ||
+      !isTrusted()) {
+    return false;
+  }
+  readDemand();
+  if (!hasRoom()) {
+    return false;
+  }
+  if (isStream()) {
+    mCountsStream = true;
+    ++mContext.streams[mService->name];
+  }
+  startTimer(mDeadline - mBegan, false);
+  return true;
+}
+
+bool
+Forwarding::chooseRoute()
+{
   std::string host(mRequest[bhttp::field::host]);
   host = host.substr(0, host.find(':'));
   mRoute = mConfiguration->match(host, pathOf(mRequest.target()));
   if (mRoute == nullptr) {
     refuse(404, { .error = Error::UnknownPath });
-    return false;
   }
-  if (mConfiguration->hasAccounts && !mRoute->isPublic) {
-    constexpr std::string_view kScheme = "Bearer ";
-    const std::string_view value = mRequest[bhttp::field::authorization];
-    const auto account = value.starts_with(kScheme)
-                           ? mConfiguration->accountsByKey.find(
-                               std::string(value.substr(kScheme.size())))
-                           : mConfiguration->accountsByKey.end();
-    if (account == mConfiguration->accountsByKey.end()) {
-      refuse(401, { .error = Error::UnknownKey });
-      return false;
-    }
-    mAccount = account->second.name;
+  return mRoute != nullptr;
+}
+
+bool
+Forwarding::authenticate()
+{
+  if (!mConfiguration->hasAccounts || mRoute->isPublic) {
+    return true;
   }
-  const auto stated = numberOf(mRequest[mContext.names.deadlineMs]);
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view value = mRequest[bhttp::field::authorization];
+  const auto account = value.starts_with(kScheme)
+                         ? mConfiguration->accountsByKey.find(
+                             std::string(value.substr(kScheme.size())))
+                         : mConfiguration->accountsByKey.end();
+  if (account == mConfiguration->accountsByKey.end()) {
+    refuse(401, { .error = Error::UnknownKey });
+    return false;
+  }
+  mAccount = account->second.name;
+  return true;
+}
+
+bool
+Forwarding::setDeadline()
+{
   Duration time = mRoute->timeout;
-  if (stated) {
+  if (const auto stated = numberOf(mRequest[mContext.names.deadlineMs])) {
     time = std::min<Duration>(time,
                               milliseconds(std::max<std::int64_t>(0, *stated)));
   }
@@ -82,6 +112,12 @@
     refuse(503, { .error = Error::ServerLeaving, .retryAfter = kLeavingWait });
     return false;
   }
+  return true;
+}
+
+bool
+Forwarding::chooseService()
+{
   double weights = 0;
   for (const RouteTarget& target : mRoute->targets) {
     weights += target.weight;
@@ -100,6 +136,12 @@
   }
   mCourse.emplace(mRoute->mayRepeat(), mRoute->maxAttempts);
   mContext.allowance(mService->name).request(mBegan);
+  return true;
+}
+
+bool
+Forwarding::isTrusted()
+{
   mFingerprint = mix(hash64(mAccount),
                      mix(hash64(mRequest.target()), hash64(mRequest.body())));
   if (mContext.quarantine.suspicion(mFingerprint, mBegan) ==
@@ -107,29 +149,35 @@
     refuse(503, { .error = Error::Quarantined, .retryAfter = seconds(5) });
     return false;
   }
+  return true;
+}
+
+void
+Forwarding::readDemand()
+{
   mDemand.isGeneration = mService->runtime.has_value();
   mDemand.promptTokens = static_cast<double>(
     numberOf(mRequest[mContext.names.promptTokens]).value_or(0));
   if (const auto last = numberOf(mRequest[mContext.names.lastEventId])) {
     mSequence = EventSequence(static_cast<std::uint64_t>(*last));
   }
-  if (mDemand.isGeneration && isStream()) {
-    const auto wait = mContext.admissions[mService->name].refusal(
-      mContext.streams[mService->name],
-      mRoute->gapObjective,
-      emptyPass(),
-      mBegan);
-    if (wait) {
-      refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
-      return false;
-    }
+}
+
+bool
+Forwarding::hasRoom()
+{
+  if (!mDemand.isGeneration || !isStream()) {
+    return true;
   }
-  if (isStream()) {
-    mCountsStream = true;
-    ++mContext.streams[mService->name];
+  const auto wait = mContext.admissions[mService->name].refusal(
+    mContext.streams[mService->name],
+    mRoute->gapObjective,
+    emptyPass(),
+    mBegan);
+  if (wait) {
+    refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
   }
-  startTimer(time, false);
-  return true;
+  return !wait;
 }
 
 } // namespace laburnum::gateway
