Read a leading number in one place of the gateway

Cause: admission, event ids and Keep-Alive each had their own std::from_chars with the same check. Ruled out: the readings of entry and settings, which also demand the end of the text and a range. Change: leadingNumber serves the three. No change of behaviour.

--- a/gateway/src/event_splitter.cpp
+++ b/gateway/src/event_splitter.cpp
@@ -1,7 +1,8 @@
 #include "laburnum/gateway/event_splitter.hpp"
 
+#include "leading_number.hpp"
+
 #include <algorithm>
-#include <charconv>
 
 namespace laburnum::gateway {
 namespace {
@@ -13,11 +14,8 @@
   http::eachField(aEvent, "id", [&id](std::string_view aValue) {
     aValue.remove_prefix(
       std::min(aValue.find_first_not_of(' '), aValue.size()));
-    std::uint64_t value = 0;
-    const auto [rest, error] =
-      std::from_chars(aValue.data(), aValue.data() + aValue.size(), value);
-    if (error == std::errc() && !id) {
-      id = value;
+    if (!id) {
+      id = leadingNumber<std::uint64_t>(aValue);
     }
   });
   return id;
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -2,26 +2,13 @@
 
 #include "end_to_end.hpp"
 #include "laburnum/kernel/hash.hpp"
+#include "leading_number.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 namespace laburnum::gateway {
 namespace {
 
-/// The number at the start of a text; nothing if there is none.
-std::optional<std::int64_t>
-numberOf(std::string_view aText)
-{
-  std::int64_t value = 0;
-  const auto [end, error] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (error != std::errc()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string_view
 pathOf(std::string_view aTarget)
 {
@@ -103,7 +90,8 @@
 Forwarding::setDeadline()
 {
   Duration time = mRoute->timeout;
-  if (const auto stated = numberOf(mRequest[mContext.names.deadlineMs])) {
+  if (const auto stated =
+        leadingNumber<std::int64_t>(mRequest[mContext.names.deadlineMs])) {
     time = std::min<Duration>(time,
                               milliseconds(std::max<std::int64_t>(0, *stated)));
   }
@@ -157,8 +145,10 @@
 {
   mDemand.isGeneration = mService->runtime.has_value();
   mDemand.promptTokens = static_cast<double>(
-    numberOf(mRequest[mContext.names.promptTokens]).value_or(0));
-  if (const auto last = numberOf(mRequest[mContext.names.lastEventId])) {
+    leadingNumber<std::int64_t>(mRequest[mContext.names.promptTokens])
+      .value_or(0));
+  if (const auto last =
+        leadingNumber<std::int64_t>(mRequest[mContext.names.lastEventId])) {
     mSequence = EventSequence(static_cast<std::uint64_t>(*last));
   }
 }
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -1,8 +1,9 @@
 #include "laburnum/gateway/server_connection.hpp"
 
+#include "leading_number.hpp"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -31,14 +32,11 @@
   }
   const std::string_view value = found->value();
   const std::size_t at = value.find("timeout=");
-  int timeout = 0;
-  if (at == std::string_view::npos ||
-      std::from_chars(
-        value.data() + at + 8, value.data() + value.size(), timeout)
-          .ec != std::errc()) {
+  if (at == std::string_view::npos) {
     return std::nullopt;
   }
-  return seconds(timeout);
+  const auto timeout = leadingNumber<int>(value.substr(at + 8));
+  return timeout ? std::optional<Duration>(seconds(*timeout)) : std::nullopt;
 }
 
 } // namespace
