Build the sanitizers at -O1 without a false warning; format a test

Ruled out: going back to -O0 (the explorers took more than eight minutes of a core); dropping -Werror. Change: -Wno-maybe-uninitialized for the sanitizers' build only, which is no test and finds such reads at run time; the line formatted.

--- a/cmake/LaburnumPackage.cmake
+++ b/cmake/LaburnumPackage.cmake
@@ -14,9 +14,10 @@
   INTERFACE BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION
             BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_THREADS)
 if(LABURNUM_SANITIZE)
-  # Without -O1 the explorers of held steps take ten minutes under the sanitizers.
-  target_compile_options(laburnum_options INTERFACE -fsanitize=address,undefined
-                                                    -fno-omit-frame-pointer -O1)
+  # Without -O1 the explorers of held steps take ten minutes under the sanitizers. With it g++ 12 warns
+  # of uninitialized members inside std::regex and std::variant that are none (GCC bug 105562).
+  target_compile_options(laburnum_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer
+                                                    -O1 -Wno-maybe-uninitialized)
   target_link_options(laburnum_options INTERFACE -fsanitize=address,undefined)
 endif()
 if(LABURNUM_FUZZ)
--- a/steward/tests/unit_steward.cpp
+++ b/steward/tests/unit_steward.cpp
@@ -101,6 +101,7 @@
   // What the own rank told was lost with the former group's plans, and nothing
   // told it again: the held step would never be released.
   StewardFixture fixture;
-  fixture.run(milliseconds(500), [&] { fixture.engine.group = std::string("b"); });
+  fixture.run(milliseconds(500),
+              [&] { fixture.engine.group = std::string("b"); });
   CHECK(fixture.isReleased);
 }
