Let deputies release a step whose holder stands still

Change: a steward whose engine has requests and begins no step for 0.6 s (1.2 s for the second deputy and the keeper) reads all engines and brings the hold to its end: forward if a rank is armed and the others can be, else undone. HeldSwitch disarms only after one rank cannot be armed any more, so that two that decide at once agree. Conclusion: covered by held_switch_holderFrozen*, held_switch_undoneWithoutADecision*, hold_rescue_*, stall_watch_*.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -103,7 +103,10 @@
   startLog(aSettings.instance, aSettings.logLevel);
   Loop loop;
   platform::users::EngineClient engine(loop, aSettings.server.address);
-  steward::Steward steward(loop, aSettings, engine);
+  steward::Steward steward(
+    loop, aSettings, engine, [&loop](const contract::Address& aAddress) {
+      return std::make_unique<platform::users::EngineClient>(loop, aAddress);
+    });
   platform::users::EngineDirectory directory(loop, aSettings, steward);
   asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
   // Its settings hold nothing that changes while it runs.
--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -70,6 +70,7 @@
 {
   bool waitsForAll = true;  ///< Off: released once half of the ranks are armed.
   bool undoPrepares = true; ///< Off: an undone rank is disarmed only.
+  bool decidesFirst = true; ///< Off: armed ranks are disarmed at once.
 };
 
 struct HeldSwitchOptions
@@ -121,11 +122,17 @@
 /// or is seen to be unarmed and to have a later version prepared, which makes
 /// the abandoned one impossible to arm. Only then the step is released, so no
 /// step begins with two maps. Driven by states alone: a holder that starts
-/// anew goes on from what it reads. Free of I/O. Thread safety: loop thread.
+/// anew goes on from what it reads, and another one may take over the hold of
+/// a holder that stands still. Two that act at once come to the same end: an
+/// armed rank is disarmed only after another rank was seen to be impossible to
+/// arm, a switch is released only after every rank was seen armed for it, and
+/// either excludes the other. Answers the load of a group that stands still
+/// because its holder does. Free of I/O. Thread safety: loop thread.
 class HeldSwitch
 {
 public:
-  /// aOwn is the rank that holds. Pre: aOwn < aRanks.
+  /// aOwn is the rank that holds; its state and orders may come from afar.
+  /// Pre: aOwn < aRanks.
   HeldSwitch(std::size_t aOwn,
              std::size_t aRanks,
              HeldSwitchOptions aOptions = {});
@@ -174,6 +181,8 @@
   Orders undo(Instant aNow, const States& aStates, const GroupMap& aInForce);
   Orders release(Instant aNow, const States& aStates);
   bool recover(Instant aNow, const States& aStates, std::uint64_t aNewVersion);
+  /// A rank has a later map prepared than the wanted one.
+  bool isOvertaken(const States& aStates) const;
 
   std::size_t mOwn;
   std::size_t mRanks;
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -16,6 +16,18 @@
   });
 }
 
+/// The map that a rank is armed with for a step; 0 if none is.
+std::uint64_t
+versionArmed(const States& aStates, std::uint64_t aStep)
+{
+  for (const auto& state : aStates) {
+    if (state && state->armed && state->armed->step == aStep) {
+      return state->armed->version;
+    }
+  }
+  return 0;
+}
+
 std::uint64_t
 newestStep(const States& aStates)
 {
@@ -135,14 +147,20 @@
   }
   mHeldSince.reset();
   mStep = *own.held;
-  const auto armed = own.armed;
-  const bool isCommitted =
-    armed && armed->step == mStep &&
-    all(aStates, [&](const RankState& aRank) { return aRank.armed == armed; });
-  if (isCommitted) {
+  mVersion = versionArmed(aStates, mStep);
+  const ArmedMap wanted{ .version = mVersion, .step = mStep };
+  const bool isArmed =
+    all(aStates, [&](const RankState& aRank) { return aRank.armed == wanted; });
+  const bool mayArm =
+    mVersion != 0 && all(aStates, [&](const RankState& aRank) {
+      return aRank.armed == wanted ||
+             (!aRank.armed && aRank.prepared == mVersion);
+    });
+  if (isArmed) {
     // The release may be under way already, so nothing may be disarmed.
-    mVersion = armed->version;
     enter(SwitchPhase::Releasing, aNow);
+  } else if (mayArm) {
+    enter(SwitchPhase::Arming, aNow);
   } else {
     mUndoVersion = aNewVersion;
     enter(SwitchPhase::Undoing, aNow);
@@ -150,6 +168,15 @@
   return true;
 }
 
+bool
+HeldSwitch::isOvertaken(const States& aStates) const
+{
+  return std::any_of(
+    aStates.begin(), aStates.end(), [this](const auto& aState) {
+      return aState && !aState->armed && aState->prepared > mVersion;
+    });
+}
+
 std::vector<RankOrder>
 HeldSwitch::prepare(Instant aNow, const States& aStates)
 {
@@ -160,7 +187,7 @@
     enter(SwitchPhase::Holding, aNow);
     return {};
   }
-  if (aNow - mPhaseAt > mOptions.prepareTime) {
+  if (isOvertaken(aStates) || aNow - mPhaseAt > mOptions.prepareTime) {
     // Nothing is armed, so nothing has to be undone.
     enter(SwitchPhase::Idle, aNow);
     return {};
@@ -189,7 +216,7 @@
              ? Orders{ { mOwn, ReleaseOrder{ *own.held } } }
              : Orders{};
   }
-  if (aNow - mPhaseAt > mOptions.holdTime) {
+  if (isOvertaken(aStates) || aNow - mPhaseAt > mOptions.holdTime) {
     enter(SwitchPhase::Idle, aNow);
     return {};
   }
@@ -214,8 +241,18 @@
   const auto isArmed = [&](const RankState& aRank) {
     return aRank.armed == wanted;
   };
-  if (aStates[mOwn]->held != mStep) {
-    // Without the hold the step may begin at any time.
+  const bool hasSwitched =
+    std::any_of(aStates.begin(), aStates.end(), [this](const auto& aState) {
+      return aState && aState->inForce == mVersion;
+    });
+  if (hasSwitched) {
+    // Another one released the step, which it does only if all are armed.
+    enter(SwitchPhase::Idle, aNow);
+    return {};
+  }
+  if (aStates[mOwn]->held != mStep || isOvertaken(aStates)) {
+    // Without the hold the step may begin at any time; a rank that has a later
+    // map prepared can't be armed any more.
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
@@ -247,18 +284,29 @@
 std::vector<RankOrder>
 HeldSwitch::undo(Instant aNow, const States& aStates, const GroupMap& aInForce)
 {
+  const ArmedMap wanted{ .version = mVersion, .step = mStep };
   const auto isUndone = [this](const RankState& aRank) {
     return !aRank.armed &&
-           (aRank.prepared == mUndoVersion || !mOptions.rules.undoPrepares);
+           (aRank.prepared >= mUndoVersion || !mOptions.rules.undoPrepares);
+  };
+  const auto isWanted = [&](const RankState& aRank) {
+    return aRank.armed == wanted;
   };
-  if (all(aStates, isUndone)) {
+  if (all(aStates, isUndone) || all(aStates, isWanted)) {
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
+  // Once one rank can't be armed any more nobody can have seen all ranks armed,
+  // nor ever will. Before that, another one may be about to release the step.
+  const bool isDecided =
+    !mOptions.rules.decidesFirst || (mVersion != 0 && isOvertaken(aStates)) ||
+    std::any_of(aStates.begin(), aStates.end(), [&](const auto& aState) {
+      return aState && isUndone(*aState);
+    });
   Orders orders;
   for (std::size_t rank = 0; rank < mRanks; ++rank) {
     const auto& state = aStates[rank];
-    if (state && isUndone(*state)) {
+    if (state && (isUndone(*state) || (!isDecided && isWanted(*state)))) {
       continue;
     }
     if (!due(rank, aNow, mOptions.again)) {
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kOldest = milliseconds(300);
 constexpr Duration kQuietStart = milliseconds(400);
 constexpr Duration kPass = milliseconds(60);
+/// A step that is held for longer is taken over.
+constexpr Duration kStalled = milliseconds(600);
 
 /// A rank's engine, by the rules that were tried on the users' engines: a newer
 /// prepare takes the place of an older one, an armed rank refuses it, orders
@@ -73,6 +75,9 @@
   double restart = 0; ///< Of the holder, in a tick.
   double unseen = 0;  ///< Reports that do not arrive, in a tick.
   double anew = 0;    ///< A change is replaced while ranks prepare, in a tick.
+  double freeze = 0;  ///< Of the holder, in a tick.
+  bool isRescued = false;   ///< Another one takes over a hold that lasts.
+  double rescuerFreeze = 0; ///< Of that one, in a tick.
   HeldSwitchRules rules;
 };
 
@@ -91,9 +96,8 @@
   GroupWorld(std::uint64_t aSeed, Weather aWeather)
     : mRandom(aSeed)
     , mWeather(aWeather)
-    , mSwitch(fresh())
+    , mHolder{ fresh({}) }
   {
-    mSeen.resize(kRanks);
   }
 
   Outcome run(Duration aSpan)
@@ -101,30 +105,82 @@
     for (; mNow - Instant{} < aSpan; mNow += kTick) {
       deliverLate();
       pass();
-      observe();
       if (mRandom.chance(mWeather.restart)) {
-        mSwitch = fresh();
-        mQuietUntil = mNow + kQuietStart;
+        mHolder = { fresh({}), mNow + kQuietStart };
       }
-      if (mNow < mQuietUntil) {
-        continue;
-      }
-      const double wish = mSwitch.isIdle() ? 0.05 : mWeather.anew;
-      if (mSwitch.mayBegin() && mRandom.chance(wish)) {
-        mSwitch.begin(++mVersion, GroupMap(1), mNow);
-      }
-      for (const RankOrder& order :
-           mSwitch.tick(mNow, mSeen, kPass, ++mVersion, GroupMap(1))) {
-        give(order);
+      if (awake(mHolder, mWeather.freeze)) {
+        observe(mHolder);
+        const double wish = mHolder.change.isIdle() ? 0.05 : mWeather.anew;
+        if (mHolder.change.mayBegin() && mRandom.chance(wish)) {
+          mHolder.change.begin(++mVersion, GroupMap(1), mNow);
+        }
+        act(mHolder);
       }
+      rescue();
     }
     return mOutcome;
   }
 
 private:
-  HeldSwitch fresh() const
+  /// One that decides, with what it has seen of the ranks.
+  struct Actor
+  {
+    HeldSwitch change;
+    Instant quietUntil{};
+    std::vector<std::optional<RankState>> seen =
+      std::vector<std::optional<RankState>>(kRanks);
+    std::array<Instant, kRanks> seenAt{};
+    bool wakes = false;
+  };
+
+  HeldSwitch fresh(HeldSwitchOptions aOptions) const
+  {
+    aOptions.rules = mWeather.rules;
+    return HeldSwitch(0, kRanks, aOptions);
+  }
+
+  /// False while it stands still. It acts once on what it saw before.
+  bool awake(Actor& aActor, double aFreeze)
+  {
+    if (mNow >= aActor.quietUntil && mRandom.chance(aFreeze)) {
+      aActor.quietUntil =
+        mNow + milliseconds(static_cast<int>(mRandom.below(4000)));
+      aActor.wakes = true;
+    }
+    if (mNow < aActor.quietUntil) {
+      return false;
+    }
+    if (aActor.wakes) {
+      aActor.wakes = false;
+      act(aActor);
+      return false;
+    }
+    return true;
+  }
+
+  void act(Actor& aActor)
+  {
+    for (const RankOrder& order : aActor.change.tick(
+           mNow, aActor.seen, kPass, ++mVersion, GroupMap(1))) {
+      give(order);
+    }
+  }
+
+  void rescue()
   {
-    return HeldSwitch(0, kRanks, { .rules = mWeather.rules });
+    if (!mWeather.isRescued) {
+      return;
+    }
+    if (!mRescuer && mHeldFor >= kStalled) {
+      mRescuer = Actor{ fresh({ .recoverAfter = milliseconds(0) }) };
+    }
+    if (mRescuer && awake(*mRescuer, mWeather.rescuerFreeze)) {
+      observe(*mRescuer);
+      act(*mRescuer);
+      if (mHeldFor == Duration(0) && mRescuer->change.isIdle()) {
+        mRescuer.reset();
+      }
+    }
   }
 
   void give(const RankOrder& aOrder)
@@ -180,27 +236,25 @@
     mOutcome.changes += before != mRanks[0].state.inForce;
   }
 
-  void observe()
+  void observe(Actor& aActor)
   {
     for (std::size_t rank = 0; rank < kRanks; ++rank) {
       if (!mRandom.chance(mWeather.unseen)) {
-        mSeen[rank] = mRanks[rank].state;
-        mSeenAt[rank] = mNow;
-      } else if (mNow - mSeenAt[rank] >= kOldest) {
-        mSeen[rank].reset();
+        aActor.seen[rank] = mRanks[rank].state;
+        aActor.seenAt[rank] = mNow;
+      } else if (mNow - aActor.seenAt[rank] >= kOldest) {
+        aActor.seen[rank].reset();
       }
     }
   }
 
   Random mRandom;
   Weather mWeather;
-  HeldSwitch mSwitch;
+  Actor mHolder;
+  std::optional<Actor> mRescuer;
   std::array<FakeRank, kRanks> mRanks;
-  std::vector<std::optional<RankState>> mSeen;
   std::deque<std::pair<Instant, RankOrder>> mLate;
-  std::array<Instant, kRanks> mSeenAt{};
   std::uint64_t mVersion = 0;
-  Instant mQuietUntil{};
   Instant mNow{};
   Instant mNextPass{};
   Duration mHeldFor{ 0 };
@@ -246,6 +300,40 @@
   CHECK(outcome.changes > 100);
 }
 
+TEST_CASE("held_switch_holderFrozenAndTakenOver_neverMixesMaps")
+{
+  const Outcome outcome = runAll(2000,
+                                 { .lost = 0.35,
+                                   .restart = 0.005,
+                                   .unseen = 0.5,
+                                   .freeze = 0.02,
+                                   .isRescued = true });
+  CHECK(outcome.mixed == 0);
+  CHECK(outcome.changes > 300);
+}
+
+TEST_CASE("held_switch_holderFrozen_isReleasedBeforeCallersLeave")
+{
+  // Callers leave a stream after a pause of two seconds.
+  CHECK(runAll(100, { .freeze = 0.01 }).longestHold > seconds(3));
+  const Outcome rescued = runAll(100, { .freeze = 0.01, .isRescued = true });
+  CHECK(rescued.longestHold < seconds(2));
+  CHECK(rescued.mixed == 0);
+}
+
+TEST_CASE("held_switch_undoneWithoutADecision_mixesMaps")
+{
+  const Outcome outcome = runAll(2000,
+                                 { .lost = 0.35,
+                                   .restart = 0.005,
+                                   .unseen = 0.5,
+                                   .freeze = 0.02,
+                                   .isRescued = true,
+                                   .rescuerFreeze = 0.02,
+                                   .rules = { .decidesFirst = false } });
+  CHECK(outcome.mixed > 0);
+}
+
 TEST_CASE("held_switch_releasedBeforeAllAreArmed_mixesMaps")
 {
   const Outcome outcome =
@@ -255,8 +343,14 @@
 
 TEST_CASE("held_switch_undoneByDisarmingOnly_mixesMaps")
 {
-  const Outcome outcome = runAll(
-    300, { .lost = 0.5, .restart = 0.03, .rules = { .undoPrepares = false } });
+  const Outcome outcome = runAll(2000,
+                                 { .lost = 0.5,
+                                   .restart = 0.01,
+                                   .unseen = 0.5,
+                                   .freeze = 0.02,
+                                   .isRescued = true,
+                                   .rescuerFreeze = 0.02,
+                                   .rules = { .undoPrepares = false } });
   CHECK(outcome.mixed > 0);
 }
 
--- a/steward/include/laburnum/steward/engine.hpp
+++ b/steward/include/laburnum/steward/engine.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "laburnum/contract/settings.hpp"
 #include "laburnum/experts/held_switch.hpp"
 #include "laburnum/kernel/loop.hpp"
 #include "laburnum/kernel/result.hpp"
 
+#include <functional>
+#include <memory>
 #include <string>
 
 namespace laburnum::steward {
@@ -16,6 +19,7 @@
   std::size_t size = 0;
   bool isOpen = false; ///< The group serves.
   std::int64_t bornMs = 0;
+  std::uint64_t requests = 0; ///< Running and waiting.
   experts::RankState state;
 };
 
@@ -52,4 +56,9 @@
                                               experts::EngineOrder aOrder) = 0;
 };
 
+/// Opens the engine at an address, which may be beside another steward; its
+/// reports are then some hundred ms old.
+using EngineOpener =
+  std::function<std::unique_ptr<Engine>(const contract::Address&)>;
+
 } // namespace laburnum::steward
--- a/steward/include/laburnum/steward/keeper_choice.hpp
+++ b/steward/include/laburnum/steward/keeper_choice.hpp
@@ -36,12 +36,23 @@
   void linked() { mUnlinkedSince.reset(); }
   void unlinked(Instant aNow);
 
+  /// The group has formed anew, perhaps of other engines; the place of this
+  /// one may have changed. Pre: none.
+  void groupFormed() { mIsListOld = true; }
+
+  /// The engines by address, as told last, and the place of the own one; one
+  /// beyond the last if it isn't among them. Pre: none.
+  const std::vector<contract::Address>& engines() const { return mEngines; }
+  std::size_t place() const;
+
   /// True if the list of engines has to be read. Pre: as above.
   bool needsList(Instant aNow) const;
 
 private:
   contract::Address mOwn;
   contract::Address mKeeper{ .host = "", .port = 0 };
+  std::vector<contract::Address> mEngines;
+  bool mIsListOld = false;
   std::optional<Instant> mUnlinkedSince;
 };
 
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/contract/settings.hpp"
 #include "laburnum/steward/engine.hpp"
+#include "laburnum/steward/hold_rescue.hpp"
 #include "laburnum/steward/keeper_choice.hpp"
 #include "laburnum/steward/map_duty.hpp"
 #include "laburnum/wire/link.hpp"
@@ -14,12 +15,17 @@
 
 /// The daemon beside one rank of a group: reads its engine, reports to the
 /// steward that keeps the group's map, carries out that one's orders, and
-/// keeps the map itself if it is that one. Thread safety: loop thread.
+/// keeps the map itself if it is that one. If the group stands still, one of
+/// two deputies releases what its holder doesn't. Thread safety: loop thread.
 class Steward
 {
 public:
+  /// Without an opener no hold of another rank is taken over.
   /// Pre: the engine outlives this.
-  Steward(Loop& aLoop, const contract::Settings& aSettings, Engine& aEngine);
+  Steward(Loop& aLoop,
+          const contract::Settings& aSettings,
+          Engine& aEngine,
+          EngineOpener aOpener = {});
 
   /// Listens and begins to report; throws what Asio throws. Pre: once.
   void start();
@@ -37,6 +43,20 @@
 
 private:
   using LinkPtr = std::shared_ptr<wire::Link>;
+  /// A hold that is being taken over, shared by what reads and orders for it.
+  struct Rescue
+  {
+    explicit Rescue(std::size_t aRanks)
+      : decisions(aRanks)
+      , engines(aRanks)
+    {
+    }
+
+    HoldRescue decisions;
+    std::vector<std::shared_ptr<Engine>> engines; ///< By rank.
+    bool hasEnded = false;
+  };
+  using RescuePtr = std::shared_ptr<Rescue>;
 
   asio::awaitable<void> follow();
   asio::awaitable<void> keepMap();
@@ -44,6 +64,11 @@
   asio::awaitable<void> carryOut(std::uint64_t aEpoch,
                                  experts::EngineOrder aOrder);
   asio::awaitable<void> awaitPrepared(std::uint64_t aVersion);
+  void noteEngine();
+  asio::awaitable<void> rescue();
+  asio::awaitable<void> readFor(RescuePtr aRescue,
+                                std::shared_ptr<Engine> aEngine);
+  asio::awaitable<void> orderFor(RescuePtr aRescue, experts::RankOrder aOrder);
   void report();
   bool isCountsDue() const;
   bool isNews() const;
@@ -65,6 +90,11 @@
   Loop& mLoop;
   contract::Settings mSettings;
   Engine& mEngine;
+  EngineOpener mOpener;
+  StallWatch mStall;
+  bool mIsRescuing = false;
+  std::uint64_t mEpoch = 0;
+  bool mWasOpen = false;
   wire::Identity mIdentity;
   std::optional<wire::LinkListener> mListener;
   KeeperChoice mKeeper;
--- /dev/null
+++ b/steward/src/hold_rescue.cpp
@@ -0,0 +1,119 @@
+#include "laburnum/steward/hold_rescue.hpp"
+
+#include <algorithm>
+
+namespace laburnum::steward {
+namespace {
+
+/// A report from afar tells an accepted order after it at the latest: "some
+/// hundred ms" by the users' pages.
+constexpr Duration kReportLag = milliseconds(500);
+
+/// An order is repeated once a report could have told of it.
+constexpr Duration kAgain = milliseconds(300);
+/// Callers leave a stream after a pause of two seconds.
+constexpr Duration kArmTime = milliseconds(800);
+
+} // namespace
+
+bool
+StallWatch::look(std::uint64_t aEpoch,
+                 std::uint64_t aStep,
+                 bool aHasRequests,
+                 std::size_t aPlace,
+                 Instant aNow)
+{
+  if (aEpoch != mEpoch || aStep != mStep || !aHasRequests) {
+    mEpoch = aEpoch;
+    mStep = aStep;
+    mStepAt = aNow;
+    return false;
+  }
+  const Duration patience =
+    aPlace == 1 ? mOptions.stalled : mOptions.stalledLonger;
+  if (aPlace > kDeputies || aNow - mStepAt < patience ||
+      (mRescuedAt && aNow - *mRescuedAt < mOptions.pause)) {
+    return false;
+  }
+  mRescuedAt = aNow;
+  return true;
+}
+
+HoldRescue::HoldRescue(std::size_t aRanks)
+  : mSeen(aRanks)
+  , mArmed(aRanks)
+{
+}
+
+void
+HoldRescue::seen(std::size_t aRank, const experts::RankState& aState)
+{
+  mSeen[aRank] = aState;
+}
+
+void
+HoldRescue::accepted(std::size_t aRank,
+                     const experts::EngineOrder& aOrder,
+                     Instant aNow)
+{
+  if (const auto* arm = std::get_if<experts::ArmOrder>(&aOrder)) {
+    mArmed[aRank] = Armed{ arm->armed, aNow };
+  } else if (std::holds_alternative<experts::DisarmOrder>(aOrder)) {
+    mArmed[aRank] = Armed{ std::nullopt, aNow };
+  }
+}
+
+std::optional<std::size_t>
+HoldRescue::findHolder() const
+{
+  for (std::size_t rank = 0; rank < mSeen.size(); ++rank) {
+    const auto& state = mSeen[rank];
+    if (state && state->held && state->step + 1 >= *state->held) {
+      return rank;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<std::optional<experts::RankState>>
+HoldRescue::states(Instant aNow) const
+{
+  auto all = mSeen;
+  for (std::size_t rank = 0; rank < all.size(); ++rank) {
+    if (all[rank] && mArmed[rank] && aNow - mArmed[rank]->at < kReportLag) {
+      all[rank]->armed = mArmed[rank]->map;
+    }
+  }
+  return all;
+}
+
+std::vector<experts::RankOrder>
+HoldRescue::tick(Instant aNow,
+                 std::uint64_t aNewVersion,
+                 const experts::GroupMap& aInForce)
+{
+  if (!mSwitch) {
+    mHolder = findHolder();
+    if (!mHolder) {
+      return {};
+    }
+    mSwitch.emplace(*mHolder,
+                    mSeen.size(),
+                    experts::HeldSwitchOptions{ .again = kAgain,
+                                                .armTime = kArmTime,
+                                                .recoverAfter = Duration(0) });
+  }
+  std::uint64_t version = aNewVersion;
+  for (const auto& state : mSeen) {
+    version = std::max(version, state ? state->prepared.value_or(0) + 1 : 0);
+  }
+  auto orders = mSwitch->tick(aNow, states(aNow), {}, version, aInForce);
+  if (aInForce.empty()) {
+    std::erase_if(orders, [](const experts::RankOrder& aOrder) {
+      return std::holds_alternative<experts::PrepareOrder>(aOrder.order);
+    });
+  }
+  return orders;
+}
+
+} // namespace laburnum::steward
--- a/steward/src/keeper_choice.cpp
+++ b/steward/src/keeper_choice.cpp
@@ -26,16 +26,27 @@
 KeeperChoice::choose(const std::vector<contract::Address>& aEngines,
                      Instant aNow)
 {
-  const auto first =
-    std::min_element(aEngines.begin(), aEngines.end(), isBefore);
-  if (first == aEngines.end() || *first == mKeeper) {
+  if (aEngines.empty()) {
     return false;
   }
-  mKeeper = *first;
+  mEngines = aEngines;
+  mIsListOld = false;
+  std::sort(mEngines.begin(), mEngines.end(), isBefore);
+  if (mEngines.front() == mKeeper) {
+    return false;
+  }
+  mKeeper = mEngines.front();
   mUnlinkedSince = aNow;
   return true;
 }
 
+std::size_t
+KeeperChoice::place() const
+{
+  return static_cast<std::size_t>(
+    std::find(mEngines.begin(), mEngines.end(), mOwn) - mEngines.begin());
+}
+
 void
 KeeperChoice::unlinked(Instant aNow)
 {
@@ -47,7 +58,7 @@
 bool
 KeeperChoice::needsList(Instant aNow) const
 {
-  return !isKnown() || isOwn() ||
+  return !isKnown() || isOwn() || mIsListOld ||
          (mUnlinkedSince && aNow - *mUnlinkedSince >= kLinkPatience);
 }
 
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -120,7 +120,12 @@
   bool isWhole = true;
   bool isSettled = true;
   const auto& own = mRanks[mOwn].news;
+  std::uint64_t version = aVersion;
   for (const Rank& rank : mRanks) {
+    if (rank.news) {
+      // One whose clock is ahead may have given a rank a later version.
+      version = std::max(version, rank.news->state.prepared.value_or(0) + 1);
+    }
     const bool isKnown = rank.news && aNow - rank.at < mOptions.fresh && own &&
                          !own->experts.empty() &&
                          rank.news->experts.size() == own->experts.size();
@@ -136,13 +141,13 @@
     // Orders go on only as far as no rank has to be known for them.
     return mSwitch.isIdle() || mInForce.empty()
              ? std::vector<experts::RankOrder>{}
-             : mSwitch.tick(aNow, states, mPass, aVersion, mInForce);
+             : mSwitch.tick(aNow, states, mPass, version, mInForce);
   }
   mInForce = inForce();
   if (mSwitch.mayBegin() && isSettled) {
-    plan(aNow, aVersion);
+    plan(aNow, version);
   }
-  return mSwitch.tick(aNow, states, mPass, aVersion, mInForce);
+  return mSwitch.tick(aNow, states, mPass, version, mInForce);
 }
 
 bool
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -29,10 +29,12 @@
 
 Steward::Steward(Loop& aLoop,
                  const contract::Settings& aSettings,
-                 Engine& aEngine)
+                 Engine& aEngine,
+                 EngineOpener aOpener)
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mEngine(aEngine)
+  , mOpener(std::move(aOpener))
   , mIdentity{ .instance = aSettings.instance,
                .incarnation = entropySeed(),
                .role = aSettings.role,
@@ -151,20 +153,41 @@
 asio::awaitable<void>
 Steward::follow()
 {
-  for (bool wasOpen = false;; co_await mLoop.sleep(kReadPeriod)) {
+  for (;;) {
     connect();
-    if (!co_await readEngine(true)) {
-      continue;
-    }
-    if (mReport.isOpen != wasOpen) {
-      wasOpen = mReport.isOpen;
-      log(LogLevel::Info,
-          wasOpen ? "group_open" : "group_broken",
-          { { "group", mReport.group },
-            { "rank", mReport.rank },
-            { "epoch", mReport.state.epoch } });
+    const bool isRead = co_await readEngine(true);
+    if (isRead) {
+      noteEngine();
+      report();
     }
-    report();
+    co_await mLoop.sleep(kReadPeriod);
+  }
+}
+
+void
+Steward::noteEngine()
+{
+  const auto& state = mReport.state;
+  if (mReport.isOpen != mWasOpen) {
+    mWasOpen = mReport.isOpen;
+    log(LogLevel::Info,
+        mWasOpen ? "group_open" : "group_broken",
+        { { "group", mReport.group },
+          { "rank", mReport.rank },
+          { "epoch", state.epoch } });
+  }
+  if (state.epoch != mEpoch) {
+    mEpoch = state.epoch;
+    mKeeper.groupFormed();
+  }
+  const bool isStalled = mStall.look(state.epoch,
+                                     state.step,
+                                     mReport.isOpen && mReport.requests > 0,
+                                     mKeeper.place(),
+                                     mLoop.now());
+  if (isStalled && mOpener && !mIsRescuing) {
+    mIsRescuing = true;
+    mLoop.spawn(rescue());
   }
 }
 
