Leave slow ranks little work, in the map and in placing

The planner counts a rank's load times its pace and may take an expert from a rank where another holds it too, without a copy. Placement counts a request at a slow rank as that many.

--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -16,6 +16,8 @@
   std::size_t maxCopies = 64; ///< Of one change over all ranks, in a set.
   /// As above, in all sets.
   std::size_t maxCopiesInAll = std::numeric_limits<std::size_t>::max();
+  /// How many times as long each rank takes for the same work; empty: once.
+  std::vector<double> paces;
   /// A step is worth a copy only if it lowers the largest load by this part of
   /// the mean.
   double leastGain = 0.04;
@@ -32,18 +34,23 @@
 };
 
 /// Improves the map of a group by copies of hot experts, into places that are
-/// free or hold an expert that another rank holds too, and by swaps; the most
-/// uneven sets first. The experts of each rank are sorted. Answers the load in
-/// which a few experts draw most of the work and others do a few seconds
-/// later: few copies, the ones that relieve most first. Pre: as many sets of
-/// loads as of the map; every expert has a copy. Thread safety: any thread.
+/// free or hold an expert that another rank holds too, by swaps, and by taking
+/// an expert from a rank where another one holds it too, which copies nothing;
+/// the most uneven sets first. The experts of each rank are sorted. Answers the
+/// load in which a few experts draw most of the work and others do a few
+/// seconds later, and ranks that have turned slow: few copies, the ones that
+/// relieve most first. Pre: as many sets of loads as of the map; every expert
+/// has a copy. Thread safety: any thread.
 GroupPlan
 planCopies(const GroupMap& aPresent,
            const std::vector<std::vector<double>>& aLoads,
            const CopyPlanOptions& aOptions);
 
-/// Sum of the sets' skews. Pre: as above. Thread safety: any thread.
+/// Sum of the sets' skews: the time of the rank that takes longest against that
+/// of all ranks together. Pre: as above. Thread safety: any thread.
 double
-skewOf(const GroupMap& aMap, const std::vector<std::vector<double>>& aLoads);
+skewOf(const GroupMap& aMap,
+       const std::vector<std::vector<double>>& aLoads,
+       const std::vector<double>& aPaces = {});
 
 } // namespace laburnum::experts
--- a/experts/include/laburnum/experts/map_planner.hpp
+++ b/experts/include/laburnum/experts/map_planner.hpp
@@ -32,10 +32,26 @@
   double skew = 1;       ///< Predicted maximum over mean with the new map.
 };
 
-/// Maximum over mean of the ranks' loads under a map.
+/// How many times as long a rank takes for the same work; 1 beyond the list.
+/// Pre: none.
+inline double
+paceOf(const std::vector<double>& aPaces, std::size_t aRank)
+{
+  return aRank < aPaces.size() ? aPaces[aRank] : 1;
+}
+
+/// The time that all ranks would take if each had the work that suits its pace.
+/// Pre: paces above 0.
+double
+evenTime(double aWork, std::size_t aRanks, const std::vector<double>& aPaces);
+
+/// The time of the rank that takes longest under a map against the even one:
+/// maximum over mean of the ranks' loads where all have the same pace.
 /// Pre: every expert has a copy. Complexity: linear in copies.
 double
-skewOf(const ExpertMap& aMap, const std::vector<double>& aLoads);
+skewOf(const ExpertMap& aMap,
+       const std::vector<double>& aLoads,
+       const std::vector<double>& aPaces = {});
 
 /// Plans anew without regard to the present map: hot experts are replicated,
 /// then packed by decreasing load on the least loaded rank with room
--- a/experts/src/copy_planner.cpp
+++ b/experts/src/copy_planner.cpp
@@ -15,15 +15,20 @@
 constexpr std::size_t kLookAhead = 8;
 
 /// One change of a rank's places: an expert is added, another may go; with a
-/// swap the relieved rank takes the latter.
+/// swap the relieved rank takes the latter. Or the relieved rank leaves the
+/// expert to its other holders.
 struct Change
 {
   std::size_t rank = 0;
   std::uint16_t added = 0;
   std::optional<std::uint16_t> dropped;
   bool isSwap = false;
+  bool isLeft = false;
 };
 
+/// A change without a copy against one with a copy, when both relieve.
+constexpr double kCostOfLeaving = 0.25;
+
 /// The map under change, with loads that follow each step.
 class Board
 {
@@ -49,8 +54,9 @@
     for (std::size_t expert = 0; expert < aLoads.size(); ++expert) {
       spread(static_cast<std::uint16_t>(expert), 1);
     }
-    mMean = std::accumulate(mRankLoads.begin(), mRankLoads.end(), 0.0) /
-            std::max<double>(1, static_cast<double>(mRankLoads.size()));
+    mMean = evenTime(std::accumulate(aLoads.begin(), aLoads.end(), 0.0),
+                     mRankLoads.size(),
+                     aOptions.paces);
   }
 
   /// Copies that each rank may still take in all sets. Pre: none.
@@ -74,7 +80,8 @@
     const double before = mPotential;
     const auto offer = [&](const Change& aChange) {
       apply(aChange, hot);
-      const double copies = aChange.isSwap ? 2 : 1;
+      const double copies =
+        aChange.isSwap ? 2 : (aChange.isLeft ? kCostOfLeaving : 1);
       const double gain = (before - mPotential) / copies;
       revert(aChange, hot);
       mPotential = before; // Sums of differences would drift.
@@ -86,6 +93,9 @@
     const auto experts = mMap.slots[hot];
     const auto targets = coolest(hot);
     for (const std::uint16_t expert : experts) {
+      if (mHolders[expert].size() > 1) {
+        offer({ .rank = hot, .added = expert, .isLeft = true });
+      }
       for (const std::size_t rank : targets) {
         if (holds(rank, expert) || !mayTake(rank, expert)) {
           continue;
@@ -115,6 +125,9 @@
   {
     const std::size_t hot = hottest();
     apply(aChange, hot);
+    if (aChange.isLeft) {
+      return;
+    }
     count(aChange.rank, aChange.added);
     if (aChange.isSwap) {
       count(hot, *aChange.dropped);
@@ -180,7 +193,8 @@
     for (const std::size_t rank : holders) {
       double& load = mRankLoads[rank];
       mPotential -= fourthPower(load);
-      load += aSign * mLoads[aExpert] / static_cast<double>(holders.size());
+      load += aSign * mLoads[aExpert] * paceOf(mOptions.paces, rank) /
+              static_cast<double>(holders.size());
       mPotential += fourthPower(load);
     }
   }
@@ -203,6 +217,10 @@
 
   void apply(const Change& aChange, std::size_t aHot)
   {
+    if (aChange.isLeft) {
+      remove(aHot, aChange.added);
+      return;
+    }
     place(aChange.rank, aChange.added);
     if (aChange.isSwap) {
       place(aHot, *aChange.dropped);
@@ -215,6 +233,10 @@
 
   void revert(const Change& aChange, std::size_t aHot)
   {
+    if (aChange.isLeft) {
+      place(aHot, aChange.added);
+      return;
+    }
     if (aChange.dropped) {
       place(aChange.rank, *aChange.dropped);
     }
@@ -289,7 +311,7 @@
   }
   std::vector<std::pair<double, std::size_t>> order;
   for (std::size_t set = 0; set < aPresent.size(); ++set) {
-    const double skew = skewOf(aPresent[set], aLoads[set]);
+    const double skew = skewOf(aPresent[set], aLoads[set], aOptions.paces);
     plan.before += skew;
     order.emplace_back(-skew, set);
   }
@@ -315,11 +337,13 @@
 }
 
 double
-skewOf(const GroupMap& aMap, const std::vector<std::vector<double>>& aLoads)
+skewOf(const GroupMap& aMap,
+       const std::vector<std::vector<double>>& aLoads,
+       const std::vector<double>& aPaces)
 {
   double sum = 0;
   for (std::size_t set = 0; set < aMap.size(); ++set) {
-    sum += skewOf(aMap[set], aLoads[set]);
+    sum += skewOf(aMap[set], aLoads[set], aPaces);
   }
   return sum;
 }
--- a/experts/src/map_planner.cpp
+++ b/experts/src/map_planner.cpp
@@ -191,13 +191,27 @@
 } // namespace
 
 double
-skewOf(const ExpertMap& aMap, const std::vector<double>& aLoads)
+evenTime(double aWork, std::size_t aRanks, const std::vector<double>& aPaces)
+{
+  double speed = 0;
+  for (std::size_t rank = 0; rank < aRanks; ++rank) {
+    speed += 1 / paceOf(aPaces, rank);
+  }
+  return speed > 0 ? aWork / speed : 0;
+}
+
+double
+skewOf(const ExpertMap& aMap,
+       const std::vector<double>& aLoads,
+       const std::vector<double>& aPaces)
 {
   const auto loads = rankLoads(aMap, aLoads, copiesOf(aMap, aLoads.size()));
   const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
-  return total <= 0 ? 1
-                    : *std::max_element(loads.begin(), loads.end()) *
-                        static_cast<double>(loads.size()) / total;
+  double longest = 0;
+  for (std::size_t rank = 0; rank < loads.size(); ++rank) {
+    longest = std::max(longest, loads[rank] * paceOf(aPaces, rank));
+  }
+  return total <= 0 ? 1 : longest / evenTime(total, loads.size(), aPaces);
 }
 
 ExpertMap
--- a/experts/tests/unit_copy_planner.cpp
+++ b/experts/tests/unit_copy_planner.cpp
@@ -133,3 +133,28 @@
   CHECK(plan.copies <= 21);
   CHECK(plan.after < plan.before);
 }
+
+TEST_CASE("copy_planner_aRankTurnsSlow_leavesItNothingThatOthersMayHold")
+{
+  // Sixteen ranks, 64 experts, five places each: one of them takes twelve
+  // times as long, and every pass waits for it.
+  constexpr std::size_t kMany = 16;
+  constexpr std::size_t kEach = 4;
+  GroupMap map(1);
+  for (std::size_t rank = 0; rank < kMany; ++rank) {
+    std::vector<std::uint16_t> slots;
+    for (std::size_t i = 0; i < kEach; ++i) {
+      slots.push_back(static_cast<std::uint16_t>(rank * kEach + i));
+    }
+    map[0].slots.push_back(slots);
+  }
+  const std::vector<std::vector<double>> loads(
+    1, std::vector<double>(kMany * kEach, 10));
+  CopyPlanOptions options{ .placements = 5, .newPerRank = 5 };
+  options.paces.assign(kMany, 1);
+  options.paces[3] = 12;
+  CHECK(skewOf(map, loads, options.paces) > 11);
+  const GroupPlan plan = planCopies(map, loads, options);
+  CHECK(plan.map[0].slots[3].empty());
+  CHECK(skewOf(plan.map, loads, options.paces) < 1.5);
+}
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -22,6 +22,7 @@
   int slots = 1;
   bool isLeaving = false;
   std::int64_t bornMs = 0; ///< Unix time of its start; tells lives apart.
+  double pace = 1; ///< How many times as long as usual its work takes.
 };
 
 /// A change of what the list holds; no record means that the entry is gone.
--- a/gateway/src/placement.cpp
+++ b/gateway/src/placement.cpp
@@ -36,9 +36,11 @@
                           : mOptions.foreignFactor;
   double score = 0;
   if (aDemand.isGeneration) {
-    // The domain only breaks ties: a fuller rank slows its whole group.
-    score =
-      requests + state.promptTokens / mOptions.tokensOfRequest + (factor - 1);
+    // The domain only breaks ties: a fuller rank slows its whole group, and a
+    // slow one does with little.
+    score = (requests + 1 + state.promptTokens / mOptions.tokensOfRequest) *
+              aServer.pace +
+            (factor - 1);
   } else {
     score = (requests + 1) * std::max(state.tookMs, kLeastMs) * factor;
   }
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -289,6 +289,21 @@
   CHECK(placement.pick(both, small, { "one" }, kStart)->id == "two");
 }
 
+TEST_CASE("placement_rankTurnsSlow_getsWorkOnlyIfAllOthersHaveAsMuch")
+{
+  // Every pass of a group waits for the part of its slowest rank.
+  Placement placement({ .failureDomain = "a" });
+  ServerRecord slow{ .id = "slow", .failureDomain = "a", .pace = 12 };
+  ServerRecord other{ .id = "other", .failureDomain = "b" };
+  const std::vector<const ServerRecord*> servers{ &slow, &other };
+  const Placement::Demand demand{ .promptTokens = 800, .isGeneration = true };
+  for (int i = 0; i < 8; ++i) {
+    const auto* picked = placement.pick(servers, demand, {}, kStart);
+    REQUIRE(picked->id == "other");
+    placement.begin(picked->id, demand);
+  }
+}
+
 TEST_CASE("placement_serverLosesAnswers_isLeftAloneForAWhile")
 {
   const ServerRecord one = server("one");
--- a/steward/include/laburnum/steward/engine.hpp
+++ b/steward/include/laburnum/steward/engine.hpp
@@ -20,6 +20,7 @@
   bool isOpen = false; ///< The group serves.
   std::int64_t bornMs = 0;
   std::uint64_t requests = 0; ///< Running and waiting.
+  double pace = 1; ///< How many times as long as usual its work takes.
   experts::RankState state;
 };
 
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -49,6 +49,7 @@
   std::size_t size = 0;
   bool isOpen = false;
   bool knowsMap = false; ///< Its steward holds the whole map in force.
+  double pace = 1;       ///< How many times as long as usual its work takes.
   experts::RankState state;
   std::vector<std::vector<std::uint16_t>> experts; ///< In force, by set.
   std::vector<double> counts; ///< Since the last news; may be empty.
@@ -102,6 +103,7 @@
   bool followShift();
   void plan(Instant aNow, std::uint64_t aVersion);
   experts::CopyPlanOptions copyOptions() const;
+  std::vector<double> paces() const;
   double passOf(double aSkews) const;
   Duration tellingTime(std::size_t aCopies) const;
   experts::GroupMap inForce() const;
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -5,6 +5,7 @@
 #include "laburnum/steward/hold_rescue.hpp"
 #include "laburnum/steward/keeper_choice.hpp"
 #include "laburnum/steward/map_duty.hpp"
+#include "laburnum/steward/slowness.hpp"
 #include "laburnum/wire/link.hpp"
 
 #include <map>
@@ -38,6 +39,11 @@
   /// True if the engines have to be told anew. Pre: none.
   bool needsEngines() const { return mKeeper.needsList(mLoop.now()); }
 
+  /// What is believed of the engine's pace, for the store. Pre: none.
+  Slowness& slowness() { return mSlowness; }
+  /// Tells lives of the engine apart, as its entry in the store does.
+  std::int64_t engineBornMs() const { return mReport.bornMs; }
+
   /// Ends the loop. Pre: none.
   void stop();
 
@@ -92,6 +98,8 @@
   Engine& mEngine;
   EngineOpener mOpener;
   StallWatch mStall;
+  Slowness mSlowness;
+  double mPaceTold = 1; ///< To the keeper.
   bool mIsRescuing = false;
   std::uint64_t mEpoch = 0;
   bool mWasOpen = false;
--- a/steward/src/frames.cpp
+++ b/steward/src/frames.cpp
@@ -194,7 +194,8 @@
   RankNews news{ .rank = aReport.rank,
                  .size = aReport.size,
                  .isOpen = aReport.open,
-                 .knowsMap = aReport.knows_map };
+                 .knowsMap = aReport.knows_map,
+                 .pace = std::max(1.0, static_cast<double>(aReport.pace)) };
   news.state.epoch = aReport.epoch;
   news.state.step = aReport.step;
   news.state.inForce = aReport.in_force;
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -169,11 +169,21 @@
   return mSwitch.tick(aNow, states, mPass, version, mInForce);
 }
 
+std::vector<double>
+MapDuty::paces() const
+{
+  std::vector<double> paces;
+  for (const Rank& rank : mRanks) {
+    paces.push_back(rank.news ? rank.news->pace : 1);
+  }
+  return paces;
+}
+
 bool
 MapDuty::followShift()
 {
-  const double smooth = experts::skewOf(mInForce, mLoads);
-  const double recent = experts::skewOf(mInForce, mRecent);
+  const double smooth = experts::skewOf(mInForce, mLoads, paces());
+  const double recent = experts::skewOf(mInForce, mRecent, paces());
   const bool isShift = recent > smooth * mOptions.shiftRatio;
   if (isShift) {
     mLoads = mRecent;
@@ -195,6 +205,7 @@
            .maxCopiesInAll = static_cast<std::size_t>(
              toSeconds(mOptions.longestTelling) * kLinkBytesPerSecond /
              (kCopyBytes * static_cast<double>(mRanks.size()))),
+           .paces = paces(),
            .leastGain =
              mOptions.gainPerCopySecond * toSeconds(mOptions.copyTime) };
 }
@@ -223,7 +234,7 @@
     experts::planCopies(mInForce, mLoads, copyOptions());
   mSkew = next.before / static_cast<double>(mInForce.size());
   const double without =
-    isAnew ? experts::skewOf(mSwitch.wanted(), mLoads) : next.before;
+    isAnew ? experts::skewOf(mSwitch.wanted(), mLoads, paces()) : next.before;
   const double gain = 1 - passOf(next.after) / passOf(without);
   if (gain < (isAnew ? mOptions.leastGainAnew : mOptions.leastGain)) {
     return;
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -168,6 +168,13 @@
 Steward::noteEngine()
 {
   const auto& state = mReport.state;
+  const double former = mSlowness.pace();
+  mSlowness.seen(mReport.pace, mLoop.now());
+  if (mSlowness.pace() != former) {
+    log(LogLevel::Info,
+        "engine_pace",
+        { { "pace", mSlowness.pace() }, { "former", former } });
+  }
   if (mReport.isOpen != mWasOpen) {
     mWasOpen = mReport.isOpen;
     log(LogLevel::Info,
--- a/steward/src/steward_report.cpp
+++ b/steward/src/steward_report.cpp
@@ -36,7 +36,8 @@
   const auto& state = mReport.state;
   return !mHasToldExperts || state.epoch != mTold.epoch ||
          state.inForce != mTold.inForce || state.prepared != mTold.prepared ||
-         state.armed != mTold.armed || state.held != mTold.held;
+         state.armed != mTold.armed || state.held != mTold.held ||
+         mSlowness.pace() != mPaceTold;
 }
 
 bool
@@ -96,6 +97,7 @@
   }
   frame.held = orNone(state.held);
   frame.knows_map = knowsMap();
+  frame.pace = static_cast<float>(mSlowness.pace());
   if (!mHasToldExperts || state.inForce != mTold.inForce ||
       state.epoch != mTold.epoch) {
     frame.experts = std::make_unique<wire::LayerMapT>();
@@ -110,6 +112,7 @@
   }
   mHasToldExperts = true;
   mTold = state;
+  mPaceTold = mSlowness.pace();
   mToldAt = mLoop.now();
   if (isKeeper()) {
     takeNews(nullptr, frame);
