Move streams off a rank that has turned slow

Ruled out: the map (experts were moved off within 1.4 s). Change: when a server's entry tells a pace of 3 or more, its resumable streams with a second left go on at another server, within the repeats allowed and the route's attempts. Conclusion: gateway_rankTurnsSlow_streamGoesOnAtAnotherOne.

--- a/gateway/include/laburnum/gateway/caller_connection.hpp
+++ b/gateway/include/laburnum/gateway/caller_connection.hpp
@@ -39,6 +39,9 @@
   /// Closes without the end of the answer. Pre: none.
   void breakOff();
 
+  /// A server has turned slow; see `Forwarding::leaveSlowServer`. Pre: none.
+  void leaveSlowServer(const std::string& aId);
+
   /// Closes if no request is in progress. Pre: none.
   void closeIfIdle();
 
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -52,6 +52,7 @@
                                        http::Request aRequest);
   asio::awaitable<void> drain();
   asio::awaitable<void> expireLater();
+  void leaveSlow(const ServerRecord& aServer);
   void serversEnded(const std::vector<std::string>& aIds,
                     std::string_view aReason);
   void forgetClosed();
--- a/gateway/include/laburnum/gateway/request_course.hpp
+++ b/gateway/include/laburnum/gateway/request_course.hpp
@@ -16,15 +16,17 @@
   Failed,   ///< The server's own failure: it ran the request.
   Lost,     ///< No whole answer: it may have run.
   Spoiled,  ///< Bytes that are no whole answer to this request.
+  Moved,    ///< Given up by us for a faster server: it has run.
   Answered  ///< A whole answer that is passed on.
 };
 
-inline constexpr EnumNames<AttemptEnd, 6> kAttemptEndNames{
+inline constexpr EnumNames<AttemptEnd, 7> kAttemptEndNames{
   { { AttemptEnd::NotSent, "not_sent" },
     { AttemptEnd::Rejected, "rejected" },
     { AttemptEnd::Failed, "failed" },
     { AttemptEnd::Lost, "lost" },
     { AttemptEnd::Spoiled, "spoiled" },
+    { AttemptEnd::Moved, "moved" },
     { AttemptEnd::Answered, "answered" } }
 };
 
@@ -98,6 +100,13 @@
   /// No server can take the request. Pre: none is in progress.
   CourseDecision unplaced() const;
 
+  /// True if the sending in progress may be given up for one to another server.
+  /// Pre: one is in progress.
+  bool mayMove(Duration aLeft) const
+  {
+    return maySendAgain(AttemptEnd::Moved, aLeft);
+  }
+
   /// True if every sending is known not to have run. Pre: none.
   bool isNotRun() const { return !mMayHaveRun; }
 
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -22,9 +22,13 @@
   int slots = 1;
   bool isLeaving = false;
   std::int64_t bornMs = 0; ///< Unix time of its start; tells lives apart.
-  double pace = 1; ///< How many times as long as usual its work takes.
+  double pace = 1;         ///< How many times as long as usual its work takes.
 };
 
+/// From this pace on it pays to read prompts once more at another server: a
+/// pass of its group takes longer than the pause that callers are promised.
+inline constexpr double kPaceToLeave = 3;
+
 /// A change of what the list holds; no record means that the entry is gone.
 struct ServerChange
 {
--- a/gateway/src/caller_connection.cpp
+++ b/gateway/src/caller_connection.cpp
@@ -332,6 +332,14 @@
   close();
 }
 
+void
+CallerConnection::leaveSlowServer(const std::string& aId)
+{
+  if (const auto forwarding = mForwarding) {
+    forwarding->leaveSlowServer(aId);
+  }
+}
+
 void
 CallerConnection::closeIfIdle()
 {
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -18,6 +18,10 @@
 /// An idempotent request is sent elsewhere after this many objectives.
 constexpr double kObjectivesOfAttempt = 2.5;
 
+/// A stream with less time left ends before it is read again elsewhere and has
+/// caught up: a prompt of usual size takes a few passes.
+constexpr Duration kLeastToMove = milliseconds(1000);
+
 /// Statuses that promise that the request did not run.
 bool
 promisesNotRun(unsigned aStatus)
@@ -309,6 +313,32 @@
   }));
 }
 
+void
+Forwarding::leaveSlowServer(const std::string& aId)
+{
+  const Instant now = mContext.loop.now();
+  if (mFinished || !mServer || mServerId != aId || !mDemand.isGeneration ||
+      !isStream() || left() < kLeastToMove || !mCourse->mayMove(left())) {
+    return;
+  }
+  const ServerRecord* other = mContext.placement.pick(
+    mContext.servers.usable(mService->name), mDemand, mTried, now);
+  if (other == nullptr || other->pace >= kPaceToLeave ||
+      !mContext.allowance(mService->name).take(now)) {
+    return;
+  }
+  log(LogLevel::Info,
+      "stream_moved",
+      { { "request", mId },
+        { "from", mServerId },
+        { "to", other->id },
+        { "events", mSequence.count() },
+        { "left_ms", left().count() / 1000 } });
+  ++mContext.metrics.counter("laburnum_gateway_streams_moved_total");
+  leaveAttempt(AttemptEnd::Moved);
+  decide(mCourse->ended(AttemptEnd::Moved, left(), [] { return true; }));
+}
+
 void
 Forwarding::decide(const CourseDecision& aDecision)
 {
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -187,6 +187,27 @@
 {
   serversEnded(mContext.servers.apply(aChanges, mLoop.now()), "entry changed");
   mHasServers = mHasServers || mContext.servers.size() > 0;
+  for (const ServerChange& change : aChanges) {
+    if (change.record && change.record->pace >= kPaceToLeave) {
+      leaveSlow(*change.record);
+    }
+  }
+}
+
+void
+Gateway::leaveSlow(const ServerRecord& aServer)
+{
+  log(LogLevel::Info,
+      "server_slow",
+      { { "server", aServer.id },
+        { "pace", aServer.pace },
+        { "in_progress", mContext.placement.inFlight(aServer.id) } });
+  const auto callers = mCallers; // A caller that is answered may go.
+  for (const auto& each : callers) {
+    if (const auto caller = each.lock()) {
+      caller->leaveSlowServer(aServer.id);
+    }
+  }
 }
 
 void
--- a/gateway/src/placement.cpp
+++ b/gateway/src/placement.cpp
@@ -101,6 +101,9 @@
                      : state.tookMs + kSmoothing * (took - state.tookMs);
     return;
   }
+  if (aEnd == AttemptEnd::Moved) {
+    return; // Its pace says enough of the server.
+  }
   ++state.losses;
   if (aEnd == AttemptEnd::NotSent || state.losses >= mOptions.tolerated) {
     const int doublings = std::min(std::max(state.losses - 1, 0), 6);
--- a/gateway/tests/unit_gateway.cpp
+++ b/gateway/tests/unit_gateway.cpp
@@ -331,6 +331,40 @@
   CHECK(resumed["Last-Event-Id"] == "2");
 }
 
+TEST_CASE("gateway_rankTurnsSlow_streamGoesOnAtAnotherOne")
+{
+  const std::string first = kEventsHead + chunk("id: 1\ndata: a\n\n: $HANG\n");
+  const std::string second =
+    kEventsHead + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  GatewayFixture fixture({ { first }, { second } });
+  // The stream begins at the first server.
+  auto records = std::vector{ fixture.servers[0]->record("i-1"),
+                              fixture.servers[1]->record("i-2") };
+  records[0].failureDomain = "a";
+  records[1].failureDomain = "b";
+  fixture.gateway.replaceServers(records);
+  Configuration configuration = *fixture.gateway.context().configuration;
+  configuration.version = 2;
+  configuration.services["s"].runtime = EngineRuntime{};
+  fixture.gateway.applyConfiguration(std::move(configuration));
+  fixture.loop.spawn(
+    [](GatewayFixture& aFixture, ServerRecord aSlow) -> asio::awaitable<void> {
+      while (aFixture.servers[0]->requests.empty()) {
+        co_await aFixture.loop.sleep(milliseconds(5));
+      }
+      co_await aFixture.loop.sleep(milliseconds(50));
+      aSlow.pace = 12;
+      aFixture.gateway.changeServers({ { .id = aSlow.id, .record = aSlow } });
+    }(fixture, records[0]));
+  const std::string got = fixture.request("POST", "/events/x", "", "prompt");
+  CHECK(got.find("id: 1\ndata: a\n\n") != std::string::npos);
+  CHECK(got.find("id: 2\ndata: b\n\n") != std::string::npos);
+  CHECK(got.ends_with("0\r\n\r\n"));
+  REQUIRE(fixture.servers[1]->requests.size() == 1);
+  CHECK(fixture.servers[1]->requests[0]["Last-Event-Id"] == "1");
+  CHECK(fixture.servers[0]->sawClose);
+}
+
 TEST_CASE("gateway_streamRepeatsAnEvent_isBrokenOff")
 {
   const std::string text =
