--- a/experts/include/laburnum/experts/copy_planner.hpp
+++ b/experts/include/laburnum/experts/copy_planner.hpp
@@ -35,7 +35,7 @@
 
 /// Improves the map of a group by copies of hot experts, into places that are
 /// free or hold an expert that another rank holds too, by swaps, and by taking
-/// an expert from a rank where another one holds it too, which copies nothing;
+/// an expert from a slow rank where another one holds it too, without a copy;
 /// the most uneven sets first. The experts of each rank are sorted. Answers the
 /// load in which a few experts draw most of the work and others do a few
 /// seconds later, and ranks that have turned slow: few copies, the ones that
--- a/experts/src/copy_planner.cpp
+++ b/experts/src/copy_planner.cpp
@@ -93,7 +93,8 @@
     const auto experts = mMap.slots[hot];
     const auto targets = coolest(hot);
     for (const std::uint16_t expert : experts) {
-      if (mHolders[expert].size() > 1) {
+      // At other ranks a copy that is left now is missed after the next shift.
+      if (mHolders[expert].size() > 1 && paceOf(mOptions.paces, hot) > 1) {
         offer({ .rank = hot, .added = expert, .isLeft = true });
       }
       for (const std::size_t rank : targets) {
