--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -21,9 +21,9 @@
 constexpr Duration kSwitchPeriod = milliseconds(15);
 /// Between two looks for a better map.
 constexpr Duration kTickPeriod = milliseconds(50);
-/// A switch may go wrong with orders of a former life still under way; they
-/// come at most 12 s late, nearly all of them sooner.
-constexpr Duration kQuietStart = seconds(2);
+/// Longer than the age of any state that a new keeper acts on, five readings;
+/// a step that its former life held stalls the group meanwhile.
+constexpr Duration kQuietStart = milliseconds(500);
 
 } // namespace
 
