--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 soak: build
 	@platform/tests/soak.py $(BUILD)/apps/laburnumd --seed $(SEED) --seconds $(SECONDS)
+	@platform/tests/soak_group.py $(BUILD)/apps/laburnumd --seed $(SEED) --seconds $(SECONDS)
 
 sanitize: setup
 	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DLABURNUM_SANITIZE=ON -DLABURNUM_BUILD_BENCH=OFF -DCMAKE_BUILD_TYPE=Debug >/dev/null
