Read the map from the ranks if a deputy does not know it

Ruled out: taking the map from the change under way (its copies may be missing). Change: a deputy that lacks the map reads each rank's experts once while it rescues; this is priced from afar and rare. Conclusion: steward_holderDeadAndMapUnknown_deputyReleasesTheStep waits 15 s in vain before it.

--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -55,11 +55,13 @@
     explicit Rescue(std::size_t aRanks)
       : decisions(aRanks)
       , engines(aRanks)
+      , holdings(aRanks)
     {
     }
 
     HoldRescue decisions;
     std::vector<std::shared_ptr<Engine>> engines; ///< By rank.
+    std::vector<EngineHolding> holdings;          ///< As above, if needed.
     bool hasEnded = false;
   };
   using RescuePtr = std::shared_ptr<Rescue>;
@@ -72,6 +74,8 @@
   asio::awaitable<void> awaitPrepared(std::uint64_t aVersion);
   void noteEngine();
   asio::awaitable<void> rescue();
+  const experts::GroupMap& mapFor(const Rescue& aRescue,
+                                  std::uint64_t aVersion);
   asio::awaitable<void> readFor(RescuePtr aRescue,
                                 std::shared_ptr<Engine> aEngine);
   asio::awaitable<void> orderFor(RescuePtr aRescue, experts::RankOrder aOrder);
--- a/steward/src/steward_rescue.cpp
+++ b/steward/src/steward_rescue.cpp
@@ -37,11 +37,8 @@
            mReport.state.step == stalled.step;
   };
   while (isStalled() && mLoop.now() - begun < kLongestRescue) {
-    const auto map = mMaps.find(stalled.inForce);
     for (experts::RankOrder& order : rescue->decisions.tick(
-           mLoop.now(),
-           nextVersion(),
-           map == mMaps.end() ? experts::GroupMap{} : map->second)) {
+           mLoop.now(), nextVersion(), mapFor(*rescue, stalled.inForce))) {
       mLoop.spawn(orderFor(rescue, std::move(order)));
     }
     co_await mLoop.sleep(kRescuePeriod);
@@ -57,6 +54,26 @@
         { "ms", (mLoop.now() - begun).count() / 1000 } });
 }
 
+const experts::GroupMap&
+Steward::mapFor(const Rescue& aRescue, std::uint64_t aVersion)
+{
+  static const experts::GroupMap kUnknown;
+  const auto known = mMaps.find(aVersion);
+  if (known != mMaps.end()) {
+    return known->second;
+  }
+  experts::GroupMap map(mHolding.experts.size());
+  for (const EngineHolding& holding : aRescue.holdings) {
+    if (holding.version != aVersion || holding.experts.size() != map.size()) {
+      return kUnknown;
+    }
+    for (std::size_t set = 0; set < map.size(); ++set) {
+      map[set].slots.push_back(holding.experts[set]);
+    }
+  }
+  return map.empty() ? kUnknown : (mMaps[aVersion] = std::move(map));
+}
+
 asio::awaitable<void>
 Steward::readFor(RescuePtr aRescue, std::shared_ptr<Engine> aEngine)
 {
@@ -69,6 +86,12 @@
         report->rank < aRescue->engines.size()) {
       aRescue->engines[report->rank] = aEngine;
       aRescue->decisions.seen(report->rank, report->state);
+      auto& known = aRescue->holdings[report->rank];
+      if (!knowsMap() && known.experts.empty()) {
+        // Priced from afar; after all stewards were killed nobody else knows.
+        const auto holding = co_await aEngine->holding();
+        known = holding ? *holding : EngineHolding{};
+      }
     } else if (!report && wasRead) {
       log(LogLevel::Info,
           "engine_not_read",
--- a/steward/tests/unit_steward.cpp
+++ b/steward/tests/unit_steward.cpp
@@ -13,6 +13,9 @@
 {
 public:
   std::string group{ "a" };
+  std::size_t rank = 0;
+  std::size_t size = 1;
+  std::uint64_t requests = 0;
   experts::RankState state{ .epoch = 1, .step = 5, .held = 6 };
   std::function<void()> released;
 
@@ -20,7 +23,9 @@
   {
     EngineReport report;
     report.group = group;
-    report.size = 1;
+    report.rank = rank;
+    report.size = size;
+    report.requests = requests;
     report.isOpen = true;
     report.bornMs = 1;
     report.state = state;
@@ -32,7 +37,8 @@
   }
   asio::awaitable<Result<EngineHolding>> holding() override
   {
-    co_return EngineHolding{ .version = 0, .experts = { { 0, 1 } } };
+    co_return EngineHolding{ .version = state.inForce,
+                             .experts = { { 0, 1 } } };
   }
   asio::awaitable<Result<bool>> order(std::uint64_t,
                                       experts::EngineOrder aOrder) override
@@ -105,3 +111,75 @@
               [&] { fixture.engine.group = std::string("b"); });
   CHECK(fixture.isReleased);
 }
+
+namespace {
+
+/// An engine beside another steward, as seen from afar.
+class EngineAfar : public Engine
+{
+public:
+  explicit EngineAfar(HeldEngine& aEngine)
+    : mEngine(aEngine)
+  {
+  }
+  asio::awaitable<Result<EngineReport>> report() override
+  {
+    return mEngine.report();
+  }
+  asio::awaitable<Result<EngineCounts>> counts() override
+  {
+    return mEngine.counts();
+  }
+  asio::awaitable<Result<EngineHolding>> holding() override
+  {
+    return mEngine.holding();
+  }
+  asio::awaitable<Result<bool>> order(std::uint64_t aEpoch,
+                                      experts::EngineOrder aOrder) override
+  {
+    return mEngine.order(aEpoch, std::move(aOrder));
+  }
+
+private:
+  HeldEngine& mEngine;
+};
+
+} // namespace
+
+TEST_CASE("steward_holderDeadAndMapUnknown_deputyReleasesTheStep")
+{
+  // All stewards were killed while a step was held, and the keeper's stays
+  // away: the deputy knows no map and has to read what the ranks hold.
+  Loop loop;
+  contract::Settings settings;
+  settings.control = { .host = "127.0.0.1", .port = 0 };
+  settings.server.address = { .host = "127.0.0.2", .port = 9 };
+  const contract::Address keeper{ .host = "127.0.0.1", .port = 9 };
+  HeldEngine holder;
+  HeldEngine own;
+  own.rank = 1;
+  own.state.held.reset();
+  bool isReleased = false;
+  for (HeldEngine* engine : { &holder, &own }) {
+    engine->size = 2;
+    engine->requests = 3;
+    engine->state.inForce = 4;
+    engine->released = [&] {
+      isReleased = true;
+      loop.stop();
+    };
+  }
+  Steward steward(loop, settings, own, [&](const contract::Address& aAddress) {
+    return std::make_unique<EngineAfar>(aAddress == keeper ? holder : own);
+  });
+  steward.start();
+  steward.setEngines({ keeper, settings.server.address }, {});
+  loop.spawn([](Loop& aLoop) -> asio::awaitable<void> {
+    co_await aLoop.sleep(StewardFixture::kPatience);
+    aLoop.stop();
+  }(loop));
+  loop.run();
+  CHECK(isReleased);
+  CHECK(holder.state.prepared > 4U);
+  CHECK(own.state.prepared > 4U);
+}
