Move streams off a rank that stands still beside its group

Ruled out: a late close of ours (sent at 19.83 s, as the callers left); a held step (other ranks' streams went on). Change: a rank that says nothing for 0.75 s while others of its group are heard is silent; its resumable streams go on elsewhere within the repeats allowed, and it is left alone for a while as after losses. Conclusion: placement_rankStandsStillBesideOthers_isSilent.

--- a/gateway/include/laburnum/gateway/caller_connection.hpp
+++ b/gateway/include/laburnum/gateway/caller_connection.hpp
@@ -39,8 +39,8 @@
   /// Closes without the end of the answer. Pre: none.
   void breakOff();
 
-  /// A server has turned slow; see `Forwarding::leaveSlowServer`. Pre: none.
-  void leaveSlowServer(const std::string& aId);
+  /// See `Forwarding::leaveServer`. Pre: none.
+  void leaveServer(const std::string& aId, AttemptEnd aEnd);
 
   /// Closes if no request is in progress. Pre: none.
   void closeIfIdle();
--- a/gateway/include/laburnum/gateway/forwarding.hpp
+++ b/gateway/include/laburnum/gateway/forwarding.hpp
@@ -22,11 +22,11 @@
   /// Begins. Pre: called once.
   void start();
 
-  /// A server of a group has turned slow: goes on at another one if it sends a
-  /// stream that can be resumed there. Answers the load in which one slow rank
-  /// holds up the passes of all streams for as long as it has some itself.
-  /// Pre: none.
-  void leaveSlowServer(const std::string& aId);
+  /// A server of a group has turned slow (`Moved`) or silent (`Lost`): goes on
+  /// at another one if it sends a stream that can be resumed there. Answers the
+  /// load in which one slow rank holds up the passes of all streams for as long
+  /// as it has some itself. Pre: none.
+  void leaveServer(const std::string& aId, AttemptEnd aEnd);
 
   /// The caller closed its connection. Pre: none.
   void callerGone();
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -52,7 +52,8 @@
                                        http::Request aRequest);
   asio::awaitable<void> drain();
   asio::awaitable<void> expireLater();
-  void leaveSlow(const ServerRecord& aServer);
+  void leaveServer(const std::string& aId, AttemptEnd aEnd);
+  asio::awaitable<void> leaveSilent();
   void serversEnded(const std::vector<std::string>& aIds,
                     std::string_view aReason);
   void forgetClosed();
--- a/gateway/include/laburnum/gateway/placement.hpp
+++ b/gateway/include/laburnum/gateway/placement.hpp
@@ -22,6 +22,12 @@
   Duration longestPause = seconds(4);
   /// Requests of one rank cost as much as reading so many tokens.
   double tokensOfRequest = 2000;
+  /// A rank that says nothing for so long while others of its group do stands
+  /// still: five passes of the longest pause between events that the users'
+  /// sheets allow, and less than half of the pause after which callers leave.
+  Duration silence = milliseconds(750);
+  /// Others of the group do if one has said something since: two passes.
+  Duration groupHeard = milliseconds(300);
 };
 
 /// How much work of this entry, and of its peers, is at each server, and how
@@ -49,13 +55,21 @@
 
   // Accounting. Pre: `begin` and `end` come in pairs.
 
-  void begin(const std::string& aId, const Demand& aDemand);
+  void begin(const std::string& aId, const Demand& aDemand, Instant aNow);
   void end(const std::string& aId,
            const Demand& aDemand,
            AttemptEnd aEnd,
            Duration aTook,
            Instant aNow);
 
+  /// A server has said something of a request. Pre: times never go back.
+  void heard(const std::string& aId, Instant aNow);
+
+  /// Servers whose streams stand still while those of other servers go on.
+  /// Answers the load of an instance that freezes with its rank, whose callers
+  /// would leave. Pre: as above.
+  std::vector<std::string> silent(Instant aNow) const;
+
   /// Requests of this entry at a server, and at all. Pre: none.
   int inFlight(const std::string& aId) const;
   int inFlight() const { return mInFlight; }
@@ -74,6 +88,9 @@
   struct State
   {
     int inFlight = 0;
+    bool isRank = false;    ///< Its requests are generations of a group.
+    Instant heardAt{};      ///< Or since when it has requests.
+    bool hasSpoken = false; ///< Since then.
     double promptTokens = 0;
     double tookMs = 0; ///< Smoothed.
     int losses = 0;    ///< In a row.
--- a/gateway/src/caller_connection.cpp
+++ b/gateway/src/caller_connection.cpp
@@ -333,10 +333,10 @@
 }
 
 void
-CallerConnection::leaveSlowServer(const std::string& aId)
+CallerConnection::leaveServer(const std::string& aId, AttemptEnd aEnd)
 {
   if (const auto forwarding = mForwarding) {
-    forwarding->leaveSlowServer(aId);
+    forwarding->leaveServer(aId, aEnd);
   }
 }
 
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -131,8 +131,8 @@
   mServer = connection;
   mTried.insert(aServer.id);
   mCourse->sending();
-  mContext.placement.begin(mServerId, mDemand);
   mSentAt = mContext.loop.now();
+  mContext.placement.begin(mServerId, mDemand, mSentAt);
   mIsEvents = false;
   mAnswer = {};
   mSplitter = {};
@@ -155,6 +155,7 @@
 void
 Forwarding::on(const AnswerHead& aEvent)
 {
+  mContext.placement.heard(mServerId, mContext.loop.now());
   mAnswer.result(aEvent.head.result_int());
   copyEndToEnd(aEvent.head, mAnswer);
   const bool isSuccess = aEvent.head.result_int() / 100 == 2;
@@ -174,6 +175,7 @@
 void
 Forwarding::on(const AnswerBytes& aEvent)
 {
+  mContext.placement.heard(mServerId, mContext.loop.now());
   if (!mIsEvents) {
     mAnswer.body().append(aEvent.bytes);
     return;
@@ -314,7 +316,7 @@
 }
 
 void
-Forwarding::leaveSlowServer(const std::string& aId)
+Forwarding::leaveServer(const std::string& aId, AttemptEnd aEnd)
 {
   const Instant now = mContext.loop.now();
   if (mFinished || !mServer || mServerId != aId || !mDemand.isGeneration ||
@@ -331,12 +333,13 @@
       "stream_moved",
       { { "request", mId },
         { "from", mServerId },
+        { "end", nameIn(kAttemptEndNames, aEnd) },
         { "to", other->id },
         { "events", mSequence.count() },
         { "left_ms", left().count() / 1000 } });
   ++mContext.metrics.counter("laburnum_gateway_streams_moved_total");
-  leaveAttempt(AttemptEnd::Moved);
-  decide(mCourse->ended(AttemptEnd::Moved, left(), [] { return true; }));
+  leaveAttempt(aEnd);
+  decide(mCourse->ended(aEnd, left(), [] { return true; }));
 }
 
 void
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kStopMargin = milliseconds(400);
 /// Between two looks at what is still in progress while stopping.
 constexpr Duration kDrainLook = milliseconds(50);
+/// Between two looks for silent servers: with the silence before it, half of
+/// the two seconds after which callers leave a stream (PROTOCOL.md, Requests).
+constexpr Duration kSilenceLook = milliseconds(250);
 /// After a failed accept; callers allow a new connection a second
 /// (PROTOCOL.md, Answers).
 constexpr Duration kAcceptPause = milliseconds(20);
@@ -76,6 +79,7 @@
         { "operators", mOperators->address().text() },
         { "failure_domain", mSettings.failureDomain } });
   accept();
+  mLoop.spawn(leaveSilent());
 }
 
 contract::Address
@@ -189,23 +193,38 @@
   mHasServers = mHasServers || mContext.servers.size() > 0;
   for (const ServerChange& change : aChanges) {
     if (change.record && change.record->pace >= kPaceToLeave) {
-      leaveSlow(*change.record);
+      log(LogLevel::Info,
+          "server_slow",
+          { { "server", change.id },
+            { "pace", change.record->pace },
+            { "in_progress", mContext.placement.inFlight(change.id) } });
+      leaveServer(change.id, AttemptEnd::Moved);
     }
   }
 }
 
 void
-Gateway::leaveSlow(const ServerRecord& aServer)
+Gateway::leaveServer(const std::string& aId, AttemptEnd aEnd)
 {
-  log(LogLevel::Info,
-      "server_slow",
-      { { "server", aServer.id },
-        { "pace", aServer.pace },
-        { "in_progress", mContext.placement.inFlight(aServer.id) } });
   const auto callers = mCallers; // A caller that is answered may go.
   for (const auto& each : callers) {
     if (const auto caller = each.lock()) {
-      caller->leaveSlowServer(aServer.id);
+      caller->leaveServer(aId, aEnd);
+    }
+  }
+}
+
+asio::awaitable<void>
+Gateway::leaveSilent()
+{
+  for (;;) {
+    co_await mLoop.sleep(kSilenceLook);
+    for (const std::string& id : mContext.placement.silent(mLoop.now())) {
+      log(LogLevel::Info,
+          "server_silent",
+          { { "server", id },
+            { "in_progress", mContext.placement.inFlight(id) } });
+      leaveServer(id, AttemptEnd::Lost);
     }
   }
 }
--- a/gateway/src/placement.cpp
+++ b/gateway/src/placement.cpp
@@ -69,10 +69,14 @@
 }
 
 void
-Placement::begin(const std::string& aId, const Demand& aDemand)
+Placement::begin(const std::string& aId, const Demand& aDemand, Instant aNow)
 {
   State& state = mServers[aId];
-  ++state.inFlight;
+  state.isRank = aDemand.isGeneration;
+  if (state.inFlight++ == 0) {
+    state.heardAt = aNow;
+    state.hasSpoken = false;
+  }
   state.promptTokens += aDemand.promptTokens;
   ++mInFlight;
 }
@@ -112,6 +116,34 @@
   }
 }
 
+void
+Placement::heard(const std::string& aId, Instant aNow)
+{
+  const auto found = mServers.find(aId);
+  if (found != mServers.end()) {
+    found->second.heardAt = aNow;
+    found->second.hasSpoken = true;
+  }
+}
+
+std::vector<std::string>
+Placement::silent(Instant aNow) const
+{
+  std::vector<std::string> ids;
+  bool isGroupHeard = false;
+  for (const auto& [id, state] : mServers) {
+    if (!state.isRank || state.inFlight == 0) {
+      continue;
+    }
+    if (aNow - state.heardAt >= mOptions.silence) {
+      ids.push_back(id);
+    } else if (state.hasSpoken && aNow - state.heardAt < mOptions.groupHeard) {
+      isGroupHeard = true;
+    }
+  }
+  return isGroupHeard ? ids : std::vector<std::string>{};
+}
+
 int
 Placement::inFlight(const std::string& aId) const
 {
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -282,7 +282,7 @@
   const std::vector<const ServerRecord*> both{ &one, &two };
   Placement placement({ .failureDomain = "a" });
   const Placement::Demand small{ .promptTokens = 100, .isGeneration = true };
-  placement.begin("one", small);
+  placement.begin("one", small, kStart);
   CHECK(placement.pick(both, small, {}, kStart)->id == "two");
   placement.peerLoads("peer", { { "two", 2 } });
   CHECK(placement.pick(both, small, {}, kStart)->id == "one");
@@ -300,10 +300,58 @@
   for (int i = 0; i < 8; ++i) {
     const auto* picked = placement.pick(servers, demand, {}, kStart);
     REQUIRE(picked->id == "other");
-    placement.begin(picked->id, demand);
+    placement.begin(picked->id, demand, kStart);
   }
 }
 
+TEST_CASE("placement_rankStandsStillBesideOthers_isSilent")
+{
+  // An instance freezes with its rank; the callers of its streams would leave
+  // after two seconds.
+  Placement placement({ .failureDomain = "a" });
+  const Placement::Demand demand{ .promptTokens = 800, .isGeneration = true };
+  placement.begin("frozen", demand, kStart);
+  placement.begin("lively", demand, kStart);
+  Instant now = kStart;
+  for (int i = 0; i < 7; ++i) {
+    now += milliseconds(100);
+    placement.heard("lively", now);
+    CHECK(placement.silent(now).empty());
+  }
+  now += milliseconds(100);
+  placement.heard("lively", now);
+  CHECK(placement.silent(now) == std::vector<std::string>{ "frozen" });
+  SECTION("the whole group stands still: nobody is left")
+  {
+    CHECK(placement.silent(now + seconds(1)).empty());
+  }
+  SECTION("it speaks again")
+  {
+    placement.heard("frozen", now);
+    CHECK(placement.silent(now).empty());
+  }
+  SECTION("nothing is left at it")
+  {
+    placement.end("frozen", demand, AttemptEnd::Lost, seconds(1), now);
+    CHECK(placement.silent(now).empty());
+  }
+  SECTION("it has got its first request anew")
+  {
+    placement.end("frozen", demand, AttemptEnd::Lost, seconds(1), now);
+    placement.begin("frozen", demand, now);
+    CHECK(placement.silent(now).empty());
+  }
+}
+
+TEST_CASE("placement_plainServerIsBusyForLong_isNotSilent")
+{
+  Placement placement({ .failureDomain = "a" });
+  placement.begin("plain", {}, kStart);
+  placement.begin("rank", { .isGeneration = true }, kStart);
+  placement.heard("rank", kStart + seconds(1));
+  CHECK(placement.silent(kStart + seconds(1)).empty());
+}
+
 TEST_CASE("placement_serverLosesAnswers_isLeftAloneForAWhile")
 {
   const ServerRecord one = server("one");
@@ -311,10 +359,10 @@
   const std::vector<const ServerRecord*> both{ &one, &two };
   Placement placement({ .failureDomain = "a" });
   for (int i = 0; i < 2; ++i) {
-    placement.begin("one", {});
+    placement.begin("one", {}, kStart);
     placement.end("one", {}, AttemptEnd::Lost, milliseconds(5), kStart);
   }
-  placement.begin("two", {});
+  placement.begin("two", {}, kStart);
   CHECK(placement.pick(both, {}, {}, kStart)->id == "two");
   CHECK(placement.pick({ &one }, {}, {}, kStart)->id == "one");
   CHECK(placement.pick(both, {}, {}, kStart + seconds(30))->id == "one");
@@ -327,12 +375,12 @@
   const std::vector<const ServerRecord*> both{ &slow, &fast };
   Placement placement({ .failureDomain = "a" });
   for (const auto& [id, took] : { std::pair{ "slow", 300 }, { "fast", 30 } }) {
-    placement.begin(id, {});
+    placement.begin(id, {}, kStart);
     placement.end(id, {}, AttemptEnd::Answered, milliseconds(took), kStart);
   }
   for (int i = 0; i < 3; ++i) {
     CHECK(placement.pick(both, {}, {}, kStart)->id == "fast");
-    placement.begin("fast", {});
+    placement.begin("fast", {}, kStart);
   }
 }
 
