Refuse at once while a group stands still

Old measures even let everything in. Ruled out: a release by deputies there: the holder's engine is frozen too and takes no orders. Change: three streams or more and none with an event for 0.6 s: refused, not run, to come back after 2 s; up to three a gateway are still let in and tell when the group goes on. Conclusion: group_admission_groupStandsStill_refusesUntilAStreamGoesOn.

--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -20,6 +20,12 @@
   /// honour up to a third of the time they have left.
   Duration leastWait = milliseconds(500);
   Duration longestWait = milliseconds(2500);
+  /// A group whose streams have all been silent for so long stands still: four
+  /// passes of the longest pause between events that the users' sheets allow.
+  Duration stalled = milliseconds(600);
+  /// Then, what a refused caller is told: ranks that are dead hold up a group
+  /// for 1.5 s, and it needs half a second to form anew.
+  Duration stalledWait = milliseconds(2000);
 };
 
 /// Bounds the streams of this entry in a group whose servers step together.
@@ -27,8 +33,9 @@
 /// stream is the time of a pass of the whole group, which grows with its
 /// streams. What this entry has let in since the measure is added to it in
 /// proportion. Answers the crest, at which one more stream would make all
-/// others late, and which comes faster than passes tell of it. Free of I/O.
-/// Thread safety: loop thread.
+/// others late, and which comes faster than passes tell of it; and the group
+/// that stands still, in which callers would wait until they give up. Free of
+/// I/O. Thread safety: loop thread.
 class GroupAdmission
 {
 public:
@@ -41,6 +48,11 @@
   /// of this entry. aEmptyPass is a pass without streams. Pre: none.
   void gapSeen(Duration aGap, int aStreams, Duration aEmptyPass, Instant aNow);
 
+  /// A stream begins beside so many others, or has sent an event.
+  /// Pre: times never go back.
+  void begun(int aOthers, Instant aNow);
+  void progress(Instant aNow) { mProgressAt = aNow; }
+
   /// Nothing if a stream may begin beside so many others of this entry, or
   /// how long its caller should wait. Pre: times never go back.
   std::optional<Duration> refusal(int aStreams,
@@ -60,6 +72,8 @@
   /// the last seconds.
   double mEvenMsPerStream = 0;
   Instant mSeenAt{};
+  std::optional<Instant>
+    mProgressAt; ///< Of any stream, or of the first one's begin.
 };
 
 } // namespace laburnum::gateway
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -199,6 +199,7 @@
   if (whole.empty()) {
     return true;
   }
+  mContext.admissions[mService->name].progress(now);
   if (!mEventsBegun) {
     mEventsBegun = true;
     mFirstEvent = now - mBegan;
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -48,7 +48,8 @@
   }
   if (isStream()) {
     mCountsStream = true;
-    ++mContext.streams[mService->name];
+    const int others = mContext.streams[mService->name]++;
+    mContext.admissions[mService->name].begun(others, mBegan);
   }
   startTimer(mDeadline - mBegan, false);
   return true;
--- a/gateway/src/group_admission.cpp
+++ b/gateway/src/group_admission.cpp
@@ -53,12 +53,24 @@
   return millisOf(aEmptyPass) + aMsPerStream * (aStreams + 1);
 }
 
+void
+GroupAdmission::begun(int aOthers, Instant aNow)
+{
+  if (aOthers == 0) {
+    mProgressAt = aNow;
+  }
+}
+
 std::optional<Duration>
 GroupAdmission::refusal(int aStreams,
                         Duration aAllowedGap,
                         Duration aEmptyPass,
                         Instant aNow) const
 {
+  if (aStreams >= mOptions.least && mProgressAt &&
+      aNow - *mProgressAt >= mOptions.stalled) {
+    return mOptions.stalledWait;
+  }
   if (aStreams < mOptions.least || aAllowedGap == Duration(0) || mPassMs == 0 ||
       aNow - mSeenAt > kFresh) {
     return std::nullopt;
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -439,6 +439,30 @@
   CHECK(!at(seconds(2)));
 }
 
+TEST_CASE("group_admission_groupStandsStill_refusesUntilAStreamGoesOn")
+{
+  // A step is held by an instance that froze, or a rank has died: callers
+  // would wait until they give up.
+  GroupAdmission admission;
+  const auto refusal = [&](int aStreams, Duration aAfter) {
+    return admission.refusal(
+      aStreams, milliseconds(120), milliseconds(18), kStart + aAfter);
+  };
+  admission.begun(0, kStart - seconds(9));
+  admission.begun(1, kStart - seconds(8));
+  admission.progress(kStart);
+  CHECK_FALSE(refusal(10, milliseconds(500)));
+  REQUIRE(refusal(10, milliseconds(700)));
+  CHECK(*refusal(10, milliseconds(700)) >= seconds(1));
+  // A few are let in: they tell when the group goes on.
+  CHECK_FALSE(refusal(2, milliseconds(700)));
+  admission.progress(kStart + milliseconds(800));
+  CHECK_FALSE(refusal(10, milliseconds(900)));
+  // Nothing was in progress for long, then many come at once.
+  admission.begun(0, kStart + seconds(60));
+  CHECK_FALSE(refusal(10, seconds(60) + milliseconds(300)));
+}
+
 TEST_CASE("drain_rule_requestComesLate_isTakenOnlyIfItEndsInTime")
 {
   // A stop with 7.6 s to its end; a stream of 8 s comes 4.2 s after it.
