Tell groups apart when streams fall silent; say why a stream was refused

Ruled out: a line of its own for each refusal (the volume at a crest doubles). Figures: none of their own; tests as before and placement_rankStandsStillBesideOthers_isSilent with a second group. Conclusion: behaviour on deployments with one group a gateway is as before.

--- a/gateway/include/laburnum/gateway/forwarding.hpp
+++ b/gateway/include/laburnum/gateway/forwarding.hpp
@@ -95,6 +95,7 @@
   Duration mFirstEvent{ 0 };
   Duration mLongestGap{ 0 };
   bool mCountsStream = false;
+  std::string_view mRefusedFor; ///< Empty unless its group had no room.
   bool mFinished = false;
 };
 
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -53,6 +53,7 @@
   asio::awaitable<void> drain();
   asio::awaitable<void> expireLater();
   void leaveServer(const std::string& aId, AttemptEnd aEnd);
+  void leaveIfSlow(const ServerRecord& aServer);
   asio::awaitable<void> leaveSilent();
   void serversEnded(const std::vector<std::string>& aIds,
                     std::string_view aReason);
--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -28,6 +28,23 @@
   Duration stalledWait = milliseconds(2000);
 };
 
+enum class RefusalCause : std::uint8_t
+{
+  Crest,      ///< One more stream would make all others late.
+  StandsStill ///< No stream of the group goes on.
+};
+
+inline constexpr EnumNames<RefusalCause, 2> kRefusalCauseNames{
+  { { RefusalCause::Crest, "crest" },
+    { RefusalCause::StandsStill, "stands_still" } }
+};
+
+struct Refusal
+{
+  Duration wait{ 0 }; ///< Until the caller should come back.
+  RefusalCause cause = RefusalCause::Crest;
+};
+
 /// Bounds the streams of this entry in a group whose servers step together.
 /// Every stream gets an event a pass, so the pause between the events of any
 /// stream is the time of a pass of the whole group, which grows with its
@@ -53,12 +70,12 @@
   void begun(int aOthers, Instant aNow);
   void progress(Instant aNow) { mProgressAt = aNow; }
 
-  /// Nothing if a stream may begin beside so many others of this entry, or
-  /// how long its caller should wait. Pre: times never go back.
-  std::optional<Duration> refusal(int aStreams,
-                                  Duration aAllowedGap,
-                                  Duration aEmptyPass,
-                                  Instant aNow) const;
+  /// Nothing if a stream may begin beside so many others of this entry.
+  /// Pre: times never go back.
+  std::optional<Refusal> refusal(int aStreams,
+                                 Duration aAllowedGap,
+                                 Duration aEmptyPass,
+                                 Instant aNow) const;
 
 private:
   double predicted(double aMsPerStream,
@@ -72,8 +89,8 @@
   /// the last seconds.
   double mEvenMsPerStream = 0;
   Instant mSeenAt{};
-  std::optional<Instant>
-    mProgressAt; ///< Of any stream, or of the first one's begin.
+  /// Of any stream, or of the begin of the first one.
+  std::optional<Instant> mProgressAt;
 };
 
 } // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/placement.hpp
+++ b/gateway/include/laburnum/gateway/placement.hpp
@@ -45,6 +45,7 @@
   {
     double promptTokens = 0;
     bool isGeneration = false; ///< Its server steps together with others.
+    std::string group;         ///< Of those servers.
   };
 
   /// The best of the servers but the excluded ones, or null. Pre: none.
@@ -65,7 +66,7 @@
   /// A server has said something of a request. Pre: times never go back.
   void heard(const std::string& aId, Instant aNow);
 
-  /// Servers whose streams stand still while those of other servers go on.
+  /// Ranks whose streams stand still while those of others of the group go on.
   /// Answers the load of an instance that freezes with its rank, whose callers
   /// would leave. Pre: as above.
   std::vector<std::string> silent(Instant aNow) const;
@@ -88,7 +89,7 @@
   struct State
   {
     int inFlight = 0;
-    bool isRank = false;    ///< Its requests are generations of a group.
+    std::string group;      ///< Whose rank it is; empty for a plain server.
     Instant heardAt{};      ///< Or since when it has requests.
     bool hasSpoken = false; ///< Since then.
     double promptTokens = 0;
--- a/gateway/src/forwarding.cpp
+++ b/gateway/src/forwarding.cpp
@@ -449,6 +449,8 @@
       { "outcome", aOutcome },
       { "status", aStatus },
       { "server", mServerId },
+      { "refused_for", mRefusedFor },
+      { "streams", mService ? mContext.streams[mService->name] : 0 },
       { "sendings", mCourse ? mCourse->sendings() : 0 },
       { "events", mSequence.count() },
       { "config", mConfiguration ? mConfiguration->version : 0 },
--- a/gateway/src/forwarding_admit.cpp
+++ b/gateway/src/forwarding_admit.cpp
@@ -145,6 +145,7 @@
 Forwarding::readDemand()
 {
   mDemand.isGeneration = mService->runtime.has_value();
+  mDemand.group = mDemand.isGeneration ? mService->name : "";
   mDemand.promptTokens = static_cast<double>(
     leadingNumber<std::int64_t>(mRequest[mContext.names.promptTokens])
       .value_or(0));
@@ -160,15 +161,16 @@
   if (!mDemand.isGeneration || !isStream()) {
     return true;
   }
-  const auto wait = mContext.admissions[mService->name].refusal(
+  const auto refusal = mContext.admissions[mService->name].refusal(
     mContext.streams[mService->name],
     mRoute->gapObjective,
     emptyPass(),
     mBegan);
-  if (wait) {
-    refuse(503, { .error = Error::QueueFull, .retryAfter = *wait });
+  if (refusal) {
+    mRefusedFor = nameIn(kRefusalCauseNames, refusal->cause);
+    refuse(503, { .error = Error::QueueFull, .retryAfter = refusal->wait });
   }
-  return !wait;
+  return !refusal;
 }
 
 } // namespace laburnum::gateway
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -184,6 +184,9 @@
 {
   serversEnded(mContext.servers.replace(aAll, mLoop.now()), "not in the list");
   mHasServers = mHasServers || mContext.servers.size() > 0;
+  for (const ServerRecord& server : aAll) {
+    leaveIfSlow(server);
+  }
 }
 
 void
@@ -192,17 +195,26 @@
   serversEnded(mContext.servers.apply(aChanges, mLoop.now()), "entry changed");
   mHasServers = mHasServers || mContext.servers.size() > 0;
   for (const ServerChange& change : aChanges) {
-    if (change.record && change.record->pace >= kPaceToLeave) {
-      log(LogLevel::Info,
-          "server_slow",
-          { { "server", change.id },
-            { "pace", change.record->pace },
-            { "in_progress", mContext.placement.inFlight(change.id) } });
-      leaveServer(change.id, AttemptEnd::Moved);
+    if (change.record) {
+      leaveIfSlow(*change.record);
     }
   }
 }
 
+void
+Gateway::leaveIfSlow(const ServerRecord& aServer)
+{
+  if (aServer.pace < kPaceToLeave) {
+    return;
+  }
+  log(LogLevel::Info,
+      "server_slow",
+      { { "server", aServer.id },
+        { "pace", aServer.pace },
+        { "in_progress", mContext.placement.inFlight(aServer.id) } });
+  leaveServer(aServer.id, AttemptEnd::Moved);
+}
+
 void
 Gateway::leaveServer(const std::string& aId, AttemptEnd aEnd)
 {
--- a/gateway/src/group_admission.cpp
+++ b/gateway/src/group_admission.cpp
@@ -61,7 +61,7 @@
   }
 }
 
-std::optional<Duration>
+std::optional<Refusal>
 GroupAdmission::refusal(int aStreams,
                         Duration aAllowedGap,
                         Duration aEmptyPass,
@@ -69,7 +69,8 @@
 {
   if (aStreams >= mOptions.least && mProgressAt &&
       aNow - *mProgressAt >= mOptions.stalled) {
-    return mOptions.stalledWait;
+    return Refusal{ .wait = mOptions.stalledWait,
+                    .cause = RefusalCause::StandsStill };
   }
   if (aStreams < mOptions.least || aAllowedGap == Duration(0) || mPassMs == 0 ||
       aNow - mSeenAt > kFresh) {
@@ -88,8 +89,9 @@
     return std::nullopt;
   }
   const auto span = mOptions.longestWait - mOptions.leastWait;
-  return mOptions.leastWait +
-         fromSeconds(toSeconds(span) * std::min(1.0, excess));
+  return Refusal{ .wait =
+                    mOptions.leastWait +
+                    fromSeconds(toSeconds(span) * std::min(1.0, excess)) };
 }
 
 } // namespace laburnum::gateway
--- a/gateway/src/placement.cpp
+++ b/gateway/src/placement.cpp
@@ -72,7 +72,7 @@
 Placement::begin(const std::string& aId, const Demand& aDemand, Instant aNow)
 {
   State& state = mServers[aId];
-  state.isRank = aDemand.isGeneration;
+  state.group = aDemand.group;
   if (state.inFlight++ == 0) {
     state.heardAt = aNow;
     state.hasSpoken = false;
@@ -129,19 +129,22 @@
 std::vector<std::string>
 Placement::silent(Instant aNow) const
 {
-  std::vector<std::string> ids;
-  bool isGroupHeard = false;
+  std::set<std::string_view> heard;
   for (const auto& [id, state] : mServers) {
-    if (!state.isRank || state.inFlight == 0) {
-      continue;
+    if (state.inFlight > 0 && state.hasSpoken &&
+        aNow - state.heardAt < mOptions.groupHeard) {
+      heard.insert(state.group);
     }
-    if (aNow - state.heardAt >= mOptions.silence) {
+  }
+  std::vector<std::string> ids;
+  for (const auto& [id, state] : mServers) {
+    if (!state.group.empty() && state.inFlight > 0 &&
+        aNow - state.heardAt >= mOptions.silence &&
+        heard.contains(state.group)) {
       ids.push_back(id);
-    } else if (state.hasSpoken && aNow - state.heardAt < mOptions.groupHeard) {
-      isGroupHeard = true;
     }
   }
-  return isGroupHeard ? ids : std::vector<std::string>{};
+  return ids;
 }
 
 int
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -309,9 +309,13 @@
   // An instance freezes with its rank; the callers of its streams would leave
   // after two seconds.
   Placement placement({ .failureDomain = "a" });
-  const Placement::Demand demand{ .promptTokens = 800, .isGeneration = true };
+  const Placement::Demand demand{ .promptTokens = 800,
+                                  .isGeneration = true,
+                                  .group = "g" };
   placement.begin("frozen", demand, kStart);
   placement.begin("lively", demand, kStart);
+  // Another group stands still as a whole: there is nowhere to go.
+  placement.begin("other", { .isGeneration = true, .group = "h" }, kStart);
   Instant now = kStart;
   for (int i = 0; i < 7; ++i) {
     now += milliseconds(100);
@@ -347,7 +351,7 @@
 {
   Placement placement({ .failureDomain = "a" });
   placement.begin("plain", {}, kStart);
-  placement.begin("rank", { .isGeneration = true }, kStart);
+  placement.begin("rank", { .isGeneration = true, .group = "g" }, kStart);
   placement.heard("rank", kStart + seconds(1));
   CHECK(placement.silent(kStart + seconds(1)).empty());
 }
@@ -453,7 +457,8 @@
   admission.progress(kStart);
   CHECK_FALSE(refusal(10, milliseconds(500)));
   REQUIRE(refusal(10, milliseconds(700)));
-  CHECK(*refusal(10, milliseconds(700)) >= seconds(1));
+  CHECK(refusal(10, milliseconds(700))->wait >= seconds(1));
+  CHECK(refusal(10, milliseconds(700))->cause == RefusalCause::StandsStill);
   // A few are let in: they tell when the group goes on.
   CHECK_FALSE(refusal(2, milliseconds(700)));
   admission.progress(kStart + milliseconds(800));
