Say where two figures of deputies come from

Ruled out: the like in headers, which would only reword. Change: two comments. Conclusion: no code changed.

--- a/steward/src/hold_rescue.cpp
+++ b/steward/src/hold_rescue.cpp
@@ -5,14 +5,15 @@
 namespace laburnum::steward {
 namespace {
 
-/// A report from afar tells an accepted order after it at the latest: "some
-/// hundred ms" by the users' pages.
+/// Bound of the age of a report from afar: twice the lag of 200 ms that the
+/// deployments name, and a pass.
 constexpr Duration kReportLag = milliseconds(500);
 
 /// An order that was not accepted is repeated after it; its answer takes a hop
 /// of 1.4 ms there and back.
 constexpr Duration kAgain = milliseconds(100);
-/// Callers leave a stream after a pause of two seconds.
+/// Then a change is undone: callers leave a stream after two seconds of pause,
+/// 600 ms of which have passed before the stall is seen.
 constexpr Duration kArmTime = milliseconds(800);
 
 } // namespace
