--- a/contract/include/laburnum/contract/settings.hpp
+++ b/contract/include/laburnum/contract/settings.hpp
@@ -91,8 +91,17 @@
   Duration retryWindow = seconds(10);
   /// What the slack is divided by: gateways that may run at once, with those
   /// that took another's place within a window.
-  int entries = 32;
+  /// Used only while no steward tells how many there are.
+  int entries = 128;
   Duration stopGrace = seconds(8); ///< From the signal to the forced end.
+  /// Port on which the stewards beside the engines listen; 0: there are none.
+  std::uint16_t stewardPort = 0;
+};
+
+/// Bounds of a steward that its deployment sets.
+struct StewardSettings
+{
+  double linkMbps = 6; ///< Rate of the instance's link, in Mbit/s.
 };
 
 /// One daemon's settings file.
@@ -113,6 +122,7 @@
   LogLevel logLevel = LogLevel::Info;
   ServerSettings server;
   GatewaySettings gateway;
+  StewardSettings steward;
 };
 
 /// Parses a settings file's text; the failure lists every fault.
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -132,10 +132,21 @@
   gateway.entries =
     static_cast<int>(aReader.integer("entries", gateway.entries, 1, 10000));
   gateway.stopGrace = seconds(aReader.integer("stop_grace_s", 8, 1, 3600));
+  gateway.stewardPort =
+    static_cast<std::uint16_t>(aReader.integer("steward_port", 0, 0, 65535));
   aParent.finish(aReader);
   return gateway;
 }
 
+StewardSettings
+readSteward(FieldReader aReader, FieldReader& aParent)
+{
+  StewardSettings steward;
+  steward.linkMbps = aReader.number("link_mbps", steward.linkMbps, 0.1, 1e6);
+  aParent.finish(aReader);
+  return steward;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -222,6 +233,12 @@
     reader.object("gateway");
     reader.fault("gateway", "belongs to the role gateway only");
   }
+  if (settings.role == Role::Steward) {
+    settings.steward = readSteward(reader.object("steward"), reader);
+  } else if (reader.has("steward")) {
+    reader.object("steward");
+    reader.fault("steward", "belongs to the role steward only");
+  }
   if (settings.platform.empty() && settings.peers.empty()) {
     reader.fault("platform",
                  "missing, expected at least one address here or in peers");
--- a/gateway/include/laburnum/gateway/configuration.hpp
+++ b/gateway/include/laburnum/gateway/configuration.hpp
@@ -75,6 +75,12 @@
   double expertRatio = 0;   ///< Fraction of the work per token done by experts.
   int standbySlots = 0;     ///< Experts that a map change may copy to a rank.
   Duration expertCopyTime{ 0 }; ///< Time to copy one expert to a rank.
+
+  /// Duration of a pass without sequences.
+  Duration emptyPassTime() const
+  {
+    return fromSeconds(stepMs * stepsPerPass / 1000);
+  }
 };
 
 /// A set of interchangeable backend servers.
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "laburnum/contract/settings.hpp"
 #include "laburnum/gateway/client_connection.hpp"
 #include "laburnum/gateway/context.hpp"
+#include "laburnum/gateway/group_follower.hpp"
 
 #include <list>
 #include <memory>
@@ -52,6 +53,15 @@
 
   Context& context() { return mContext; }
 
+  /// What is known of how new the contents are that were read from the store.
+  StoreFreshness& freshness() { return mFreshness; }
+
+  /// Sets the function that starts the watches of the store anew.
+  void onRestartWatches(std::function<void()> aHandler)
+  {
+    mRestartWatches = std::move(aHandler);
+  }
+
 private:
   using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, http::Executor>;
 
@@ -62,7 +72,10 @@
   asio::awaitable<void> removeExpiredLater();
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
   void migrateIfSlow(const ServerRecord& aServer);
-  asio::awaitable<void> migrateFromSilentServers();
+  /// Checks for silent servers and stewards, a few times a second.
+  asio::awaitable<void> maintain();
+  void applyGroupStatus(const std::string& aService,
+                        const GroupStatus& aStatus);
   void retireServers(const std::vector<std::string>& aIds,
                      std::string_view aReason);
   void removeClosedConnections();
@@ -75,6 +88,9 @@
   std::optional<http::Server> mOperators;
   std::list<std::weak_ptr<ClientConnection>> mClients;
   bool mHasServers = false;
+  StoreFreshness mFreshness;
+  std::function<void()> mRestartWatches;
+  GroupFollower mFollower;
 };
 
 } // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/group_admission.hpp
+++ b/gateway/include/laburnum/gateway/group_admission.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "laburnum/gateway/configuration.hpp"
+#include "laburnum/gateway/group_status.hpp"
+#include "laburnum/gateway/pass_model.hpp"
 
 #include <optional>
 
@@ -16,30 +18,38 @@
   double balancedGapShare = 0.7;
   /// Fraction of the maximum gap that a pass may take at any time.
   double currentGapShare = 0.92;
-  /// Streams of this gateway that are always admitted; the estimate needs some.
+  /// Streams of this gateway that are always admitted while nobody tells the
+  /// state of the group; the estimate needs some.
   double minStreams = 3;
+  /// Requests for each slot of the group that are admitted. A few more than
+  /// slots, since a slot is free again within a pass or two.
+  double maxLoadPerSlot = 1.05;
   /// Bounds of the retry time sent to a rejected client. Clients wait for up to
   /// a third of the time they have left.
   Duration minRetryAfter = milliseconds(500);
   Duration maxRetryAfter = milliseconds(2500);
-  /// A group is stalled if none of its streams had an event for this long: four
-  /// passes of the longest allowed gap between events.
-  Duration stallTimeout = milliseconds(600);
+  /// A group is stalled if none of its streams had an event for this many times
+  /// the longest allowed gap between events.
+  int stalledGaps = 5;
   /// Retry time sent to clients while a group is stalled: dead ranks block a
   /// group for 1.5 s, and it takes another 0.5 s to re-form.
   Duration stallRetryAfter = milliseconds(2000);
+  /// What others told of the group is used up to this age.
+  Duration maxStatusAge = milliseconds(1000);
 };
 
 /// Why a stream was rejected.
 enum class RefusalCause : std::uint8_t
 {
   Overloaded, ///< Another stream would delay all streams beyond the limit.
-  Stalled     ///< No stream of the group makes progress.
+  Stalled,    ///< No stream of the group makes progress.
+  NoSlot      ///< All slots are taken; the stream would wait for one.
 };
 
-inline constexpr EnumNames<RefusalCause, 2> kRefusalCauseNames{
+inline constexpr EnumNames<RefusalCause, 3> kRefusalCauseNames{
   { { RefusalCause::Overloaded, "crest" },
-    { RefusalCause::Stalled, "stands_still" } }
+    { RefusalCause::Stalled, "stands_still" },
+    { RefusalCause::NoSlot, "no_slot" } }
 };
 
 /// A rejected stream.
@@ -49,18 +59,31 @@
   RefusalCause cause = RefusalCause::Overloaded;
 };
 
-/// Limits the streams that this gateway runs in a group of servers that execute
-/// passes together. Each stream gets one event per pass, so the gap between the
-/// events of any stream is the duration of a pass of the whole group, which
-/// grows with its number of streams. The estimate scales the measured duration
-/// by the streams admitted since, because load can rise faster than the passes
-/// show it.
+/// The group that a stream asks for.
+struct GroupDemand
+{
+  int ownStreams = 0;   ///< Of this gateway in the group, without the newcomer.
+  Duration maxGap{ 0 }; ///< Maximum time between events; 0: no limit.
+  Duration emptyPass{ 0 }; ///< Duration of a pass without streams.
+  int slotsPerRank = 0;    ///< Requests that a rank runs at once; 0: unknown.
+};
+
+/// Limits the streams in a group of servers that execute passes together. Each
+/// stream gets one event per pass, so the gap between the events of any stream
+/// is the duration of a pass of the whole group, which grows with its number of
+/// streams. Rejects a stream if it would delay all others beyond the limit, if
+/// it would wait for a slot, or if the group is stalled and clients would wait
+/// until they time out.
 ///
-/// Rejects a stream if it would delay all others beyond the limit, or if the
-/// group is stalled and clients would wait until they time out.
+/// The state of the group is what its stewards tell all gateways. Between two
+/// statuses every gateway assumes that the others have admitted and ended as
+/// many streams as itself, so that together they fill the room that is left
+/// once. While nobody tells, a gateway uses the pass times and the number of
+/// its own streams.
 ///
-/// All times passed in must be non-decreasing. Performs no I/O. Thread safety:
-/// loop thread only.
+/// Answers the load patterns of a crest that reaches many gateways at once, and
+/// of a group that stalls or forms anew. All times passed in must be
+/// non-decreasing. Performs no I/O. Thread safety: loop thread only.
 class GroupAdmission
 {
 public:
@@ -69,6 +92,13 @@
   {
   }
 
+  /// Records what the stewards tell. `aOwnStreams` is the number of streams of
+  /// this gateway in the group now.
+  void recordStatus(const GroupStatus& aStatus,
+                    int aOwnStreams,
+                    Duration aEmptyPassTime,
+                    Instant aNow);
+
   /// Records the time between two consecutive events of one stream. `aStreams`
   /// is the number of streams of this gateway in the group, `aEmptyPassTime`
   /// the duration of a pass without streams.
@@ -82,26 +112,33 @@
   /// Records that some stream of the group delivered an event.
   void recordProgress(Instant aNow) { mLastProgressAt = aNow; }
 
-  /// Decides whether a stream may start in addition to `aStreams` others of
-  /// this gateway. Returns nothing if it may. `aMaxGap` is the maximum time
-  /// between events; 0 means no limit.
-  std::optional<Refusal> checkAdmission(int aStreams,
-                                        Duration aMaxGap,
-                                        Duration aEmptyPassTime,
+  /// Decides whether a stream may start. Returns nothing if it may.
+  std::optional<Refusal> checkAdmission(const GroupDemand& aDemand,
                                         Instant aNow) const;
 
 private:
-  double predictPassMs(double aPassMsPerStream,
-                       int aStreams,
-                       Duration aEmptyPassTime) const;
+  struct Told
+  {
+    GroupStatus status;
+    int totalLoad = 0;
+    int ownStreams = 0;
+    Instant at{};
+  };
+  std::optional<Refusal> checkByStatus(const GroupDemand& aDemand,
+                                       Instant aNow) const;
+  std::optional<Refusal> checkByOwnStreams(const GroupDemand& aDemand,
+                                           Instant aNow) const;
+  std::optional<Refusal> checkPassTime(const PassModel& aModel,
+                                       double aStreams,
+                                       const GroupDemand& aDemand,
+                                       Instant aNow) const;
+  /// A refusal with a later retry the further the load is above the limit.
+  Refusal overload(double aExcess, RefusalCause aCause) const;
 
   GroupAdmissionOptions mOptions;
-  double mPassMs = 0;      ///< Smoothed duration of a pass.
-  double mMeanStreams = 0; ///< Smoothed with the same weight as `mPassMs`.
-  /// Time that each stream adds to a pass while the expert map matches the
-  /// load: the minimum over the last seconds.
-  double mBalancedMsPerStream = 0;
-  Instant mMeasuredAt{};
+  PassModel mOwnPasses;   ///< By the streams of this gateway.
+  PassModel mGroupPasses; ///< By all streams of the group.
+  std::optional<Told> mTold;
   /// Last event of any stream, or the start of the first one.
   std::optional<Instant> mLastProgressAt;
 };
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -69,7 +69,6 @@
   void endAttempt(AttemptOutcome aOutcome);
   void finish(std::string_view aOutcome, unsigned aStatus);
   Duration remainingTime() const;
-  Duration emptyPassTime() const;
   bool isStream() const { return mRoute->type == RouteType::Stream; }
 
   Context& mContext;
--- a/gateway/include/laburnum/gateway/server_selector.hpp
+++ b/gateway/include/laburnum/gateway/server_selector.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "laburnum/gateway/group_status.hpp"
 #include "laburnum/gateway/retry_controller.hpp"
 #include "laburnum/gateway/server_list.hpp"
+#include "laburnum/kernel/random.hpp"
 
 #include <map>
 #include <set>
@@ -24,18 +26,29 @@
   Duration maxBackoff = seconds(4);
   /// Number of prompt tokens that cost a rank as much as one request.
   double tokensPerRequest = 2000;
-  /// A rank is silent if it sent nothing for this long while other ranks of its
-  /// group did: five passes of the longest allowed gap between events, and less
-  /// than half of the time after which clients disconnect.
-  Duration silenceTimeout = milliseconds(750);
-  /// Other ranks count as active if they sent something within this time: two
-  /// passes.
-  Duration groupActivityWindow = milliseconds(300);
+  /// A rank is silent if it sent nothing for this many times the longest gap
+  /// between events that its streams allow, while other ranks of its group did.
+  /// Less than the eight gaps after which clients disconnect.
+  int silentGaps = 5;
+  /// As above, for a rank that has not responded yet, in multiples of the
+  /// objective of the first event; clients disconnect after four.
+  int silentObjectives = 2;
+  /// Other ranks count as active if they sent something within this many gaps.
+  int activeGaps = 2;
+  /// The gap for streams whose route states none.
+  Duration defaultGap = milliseconds(150);
+  /// Loads that others told are used up to this age.
+  Duration maxStatusAge = milliseconds(1000);
+  /// Age that told loads have when they arrive.
+  Duration statusDelay = milliseconds(200);
+  std::uint64_t seed = 1; ///< Of the choice among equally loaded servers.
 };
 
 /// Selects the server for each request. Tracks the requests in progress of this
-/// gateway and its peers at each server, as well as latency and failures, so
-/// that slow, failing and highly loaded servers get fewer requests.
+/// gateway at each server, as well as latency and failures, so that slow,
+/// failing and highly loaded servers get fewer requests. The ranks of a group
+/// are chosen by the loads that their stewards tell, plus what this gateway has
+/// sent since; see `drawLevelled`.
 ///
 /// All times passed in must be non-decreasing. Performs no I/O. Thread safety:
 /// loop thread only.
@@ -48,8 +61,10 @@
   struct Demand
   {
     double promptTokens = 0;
-    bool isGeneration = false; ///< Runs on ranks that execute passes together.
-    std::string group;         ///< Name of the group of those ranks.
+    bool isGeneration = false;  ///< Runs on ranks that execute passes together.
+    std::string group;          ///< Name of the group of those ranks.
+    Duration gapObjective{ 0 }; ///< Maximum time between events; 0: not stated.
+    Duration firstEventObjective{ 0 }; ///< Expected time to the first event.
   };
 
   /// Returns the server with the lowest estimated cost that is not excluded, or
@@ -57,7 +72,7 @@
   const ServerRecord* select(const std::vector<const ServerRecord*>& aServers,
                              const Demand& aDemand,
                              const std::set<std::string>& aExcluded,
-                             Instant aNow) const;
+                             Instant aNow);
 
   /// Records that a request was sent to a server.
   void requestStarted(const std::string& aServerId,
@@ -83,37 +98,59 @@
   int inFlight(const std::string& aServerId) const;
   int inFlight() const { return mInFlight; }
 
-  /// Requests of this gateway in progress at each server, to be sent to peers.
-  std::map<std::string, int> loads() const;
+  /// Sets the loads of the ranks of a group, those of all gateways together.
+  void setGroupLoads(const std::string& aGroup,
+                     const GroupStatus& aStatus,
+                     Instant aNow);
 
-  /// Sets the requests in progress of a peer at each server.
-  void setPeerLoads(const std::string& aPeer,
-                    std::map<std::string, int> aLoads);
-
-  /// Discards the state of a server or a peer. A server with requests in
-  /// progress keeps its state.
+  /// Discards the state of a server. A server with requests in progress keeps
+  /// its state.
   void removeServer(const std::string& aServerId);
-  void removePeer(const std::string& aPeer) { mPeers.erase(aPeer); }
 
 private:
   struct State
   {
     int inFlight = 0;
-    std::string group;         ///< Group of the rank; empty if it is no rank.
-    Instant lastActivityAt{};  ///< Or when it last became busy.
-    bool hasResponded = false; ///< Since it became busy.
+    std::string group;          ///< Group of the rank; empty if it is no rank.
+    Instant lastActivityAt{};   ///< Or when it last became busy.
+    bool hasResponded = false;  ///< Since it became busy.
+    Duration gapObjective{ 0 }; ///< Largest of its requests.
+    Duration firstEventObjective{ 0 }; ///< Likewise.
     double promptTokens = 0;
+    /// Requests of this gateway that started, less those that ended, since the
+    /// loads of the group were told.
+    int startedSinceStatus = 0;
     double latencyMs = 0; ///< Exponentially smoothed.
     int consecutiveLosses = 0;
     Instant backoffUntil{};
   };
-  double score(const ServerRecord& aServer,
-               const Demand& aDemand,
-               Instant aNow) const;
+  /// What others told of a group.
+  struct Group
+  {
+    GroupStatus status;
+    Instant updatedAt{};
+    int started = 0;            ///< By this gateway since then.
+    double startsPerSecond = 0; ///< Smoothed, of this gateway.
+  };
+  using Servers = std::vector<const ServerRecord*>;
+
+  /// Candidates that are not excluded; those that are avoided only if all are.
+  Servers eligible(const Servers& aServers,
+                   const std::set<std::string>& aExcluded,
+                   Instant aNow) const;
+  const ServerRecord* selectRank(const Servers& aServers,
+                                 const Demand& aDemand,
+                                 Instant aNow);
+  const ServerRecord* selectPlain(const Servers& aServers);
+  double rankLoad(const ServerRecord& aServer, const Group* aGroup) const;
+  double latencyScore(const ServerRecord& aServer) const;
+  Duration gapOf(const State& aState) const;
+  const Group* freshGroup(const std::string& aName, Instant aNow) const;
 
   ServerSelectorOptions mOptions;
   std::map<std::string, State> mServers;
-  std::map<std::string, std::map<std::string, int>> mPeers;
+  std::map<std::string, Group> mGroups;
+  Random mRandom;
   int mInFlight = 0;
 };
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -15,10 +15,10 @@
 constexpr Duration kStopMargin = milliseconds(400);
 /// Interval of the checks for requests in progress while shutting down.
 constexpr Duration kDrainPollInterval = milliseconds(50);
-/// Interval of the checks for silent servers. Together with the silence
-/// timeout, half of the two seconds after which clients abandon a stream
-/// (PROTOCOL.md, Requests).
-constexpr Duration kSilencePollInterval = milliseconds(250);
+/// Interval of the checks for silent servers and stewards. Together with the
+/// time after which a rank counts as silent, about half of the time after which
+/// clients abandon a stream (PROTOCOL.md, Requests).
+constexpr Duration kMaintenanceInterval = milliseconds(250);
 /// Delay after a failed accept; clients wait one second for a new connection
 /// (PROTOCOL.md, Answers).
 constexpr Duration kAcceptRetryDelay = milliseconds(20);
@@ -29,7 +29,7 @@
 ServerSelectorOptions
 selectorOptions(const contract::Settings& aSettings)
 {
-  return { .failureDomain = aSettings.failureDomain };
+  return { .failureDomain = aSettings.failureDomain, .seed = entropySeed() };
 }
 
 RetryBudgetOptions
@@ -59,6 +59,12 @@
              selectorOptions(aSettings),
              retryBudgetOptions(aSettings))
   , mAcceptor(aLoop.context())
+  , mFollower(mSettings,
+              mContext,
+              mFreshness,
+              [this](const std::string& aService, const GroupStatus& aStatus) {
+                applyGroupStatus(aService, aStatus);
+              })
 {
 }
 
@@ -84,7 +90,7 @@
         { "operators", mOperators->address().text() },
         { "failure_domain", mSettings.failureDomain } });
   accept();
-  mLoop.spawn(migrateFromSilentServers());
+  mLoop.spawn(maintain());
 }
 
 contract::Address
@@ -234,10 +240,15 @@
 }
 
 asio::awaitable<void>
-Gateway::migrateFromSilentServers()
+Gateway::maintain()
 {
   for (;;) {
-    co_await mLoop.sleep(kSilencePollInterval);
+    co_await mLoop.sleep(kMaintenanceInterval);
+    mFollower.maintain();
+    if (mRestartWatches && mFreshness.takeRestart(mLoop.now())) {
+      ++mContext.metrics.counter("laburnum_gateway_watches_restarted_total");
+      mRestartWatches();
+    }
     for (const std::string& id : mContext.selector.silentServers(mLoop.now())) {
       log(LogLevel::Info,
           "server_silent",
@@ -248,6 +259,27 @@
   }
 }
 
+void
+Gateway::applyGroupStatus(const std::string& aService,
+                          const GroupStatus& aStatus)
+{
+  const Instant now = mLoop.now();
+  const Service* service = mContext.configuration
+                             ? mContext.configuration->service(aService)
+                             : nullptr;
+  if (service == nullptr || !service->runtime) {
+    return;
+  }
+  mContext.selector.setGroupLoads(aService, aStatus, now);
+  mContext.admissions[aService].recordStatus(aStatus,
+                                             mContext.activeStreams[aService],
+                                             service->runtime->emptyPassTime(),
+                                             now);
+  for (const auto& [name, other] : mContext.configuration->services) {
+    mContext.retryBudget(name).setGateways(aStatus.gateways, now);
+  }
+}
+
 void
 Gateway::serverSourceLost()
 {
--- a/gateway/src/group_admission.cpp
+++ b/gateway/src/group_admission.cpp
@@ -5,14 +5,8 @@
 namespace laburnum::gateway {
 namespace {
 
-/// Smoothing factor of the pass duration, over all streams that report the same
-/// pass.
-constexpr double kPassSmoothing = 0.35;
-/// Smoothing factor with which the minimum time per stream rises; takes seconds
-/// at usual pass durations.
-constexpr double kBalancedSmoothing = 0.02;
-/// Older measurements do not describe the current load of the group.
-constexpr Duration kMaxMeasurementAge = milliseconds(1000);
+/// The gap for routes that state none.
+constexpr Duration kDefaultGap = milliseconds(150);
 
 double
 toMillis(Duration aTime)
@@ -20,40 +14,39 @@
   return toSeconds(aTime) * 1000;
 }
 
+Duration
+gapOf(const GroupDemand& aDemand)
+{
+  return aDemand.maxGap > Duration(0) ? aDemand.maxGap : kDefaultGap;
+}
+
 } // namespace
 
+void
+GroupAdmission::recordStatus(const GroupStatus& aStatus,
+                             int aOwnStreams,
+                             Duration aEmptyPassTime,
+                             Instant aNow)
+{
+  const int totalLoad = aStatus.totalLoad();
+  if (totalLoad > 0) {
+    mGroupPasses.record(aStatus.passTime, totalLoad, 1, aEmptyPassTime, aNow);
+  }
+  mTold = Told{ .status = aStatus,
+                .totalLoad = totalLoad,
+                .ownStreams = aOwnStreams,
+                .at = aNow };
+}
+
 void
 GroupAdmission::recordGap(Duration aGap,
                           int aStreams,
                           Duration aEmptyPassTime,
                           Instant aNow)
 {
-  const double gap = toMillis(aGap);
+  // All streams report the same pass.
   const double streams = std::max(1, aStreams);
-  if (mPassMs == 0 || aNow - mMeasuredAt > kMaxMeasurementAge) {
-    mPassMs = gap;
-    mMeanStreams = streams;
-  }
-  const double weight = kPassSmoothing / streams;
-  mPassMs += weight * (gap - mPassMs);
-  mMeanStreams += weight * (streams - mMeanStreams);
-  const double msPerStream = std::max(0.0, mPassMs - toMillis(aEmptyPassTime)) /
-                             std::max(1.0, mMeanStreams);
-  if (mBalancedMsPerStream == 0 || msPerStream < mBalancedMsPerStream) {
-    mBalancedMsPerStream = msPerStream;
-  } else {
-    mBalancedMsPerStream +=
-      kBalancedSmoothing / streams * (msPerStream - mBalancedMsPerStream);
-  }
-  mMeasuredAt = aNow;
-}
-
-double
-GroupAdmission::predictPassMs(double aPassMsPerStream,
-                              int aStreams,
-                              Duration aEmptyPassTime) const
-{
-  return toMillis(aEmptyPassTime) + aPassMsPerStream * (aStreams + 1);
+  mOwnPasses.record(aGap, streams, 1 / streams, aEmptyPassTime, aNow);
 }
 
 void
@@ -64,37 +57,81 @@
   }
 }
 
+Refusal
+GroupAdmission::overload(double aExcess, RefusalCause aCause) const
+{
+  const auto span = mOptions.maxRetryAfter - mOptions.minRetryAfter;
+  return { .retryAfter = mOptions.minRetryAfter +
+                         fromSeconds(toSeconds(span) * std::min(1.0, aExcess)),
+           .cause = aCause };
+}
+
 std::optional<Refusal>
-GroupAdmission::checkAdmission(int aStreams,
-                               Duration aMaxGap,
-                               Duration aEmptyPassTime,
-                               Instant aNow) const
+GroupAdmission::checkPassTime(const PassModel& aModel,
+                              double aStreams,
+                              const GroupDemand& aDemand,
+                              Instant aNow) const
 {
-  if (aStreams >= mOptions.minStreams && mLastProgressAt &&
-      aNow - *mLastProgressAt >= mOptions.stallTimeout) {
-    return Refusal{ .retryAfter = mOptions.stallRetryAfter,
-                    .cause = RefusalCause::Stalled };
-  }
-  if (aStreams < mOptions.minStreams || aMaxGap == Duration(0) ||
-      mPassMs == 0 || aNow - mMeasuredAt > kMaxMeasurementAge) {
+  const auto pass = aModel.predict(aStreams, aDemand.emptyPass, aNow);
+  if (!pass || aDemand.maxGap == Duration(0)) {
     return std::nullopt;
   }
-  const double maxGapMs = toMillis(aMaxGap);
-  const double msPerStream = std::max(0.0, mPassMs - toMillis(aEmptyPassTime)) /
-                             std::max(1.0, mMeanStreams);
+  const double maxGapMs = toMillis(aDemand.maxGap);
   const double excess =
-    std::max(predictPassMs(msPerStream, aStreams, aEmptyPassTime) /
-               (maxGapMs * mOptions.currentGapShare),
-             predictPassMs(mBalancedMsPerStream, aStreams, aEmptyPassTime) /
-               (maxGapMs * mOptions.balancedGapShare)) -
+    std::max(pass->nowMs / (maxGapMs * mOptions.currentGapShare),
+             pass->balancedMs / (maxGapMs * mOptions.balancedGapShare)) -
     1;
   if (excess <= 0) {
     return std::nullopt;
   }
-  const auto span = mOptions.maxRetryAfter - mOptions.minRetryAfter;
-  return Refusal{ .retryAfter =
-                    mOptions.minRetryAfter +
-                    fromSeconds(toSeconds(span) * std::min(1.0, excess)) };
+  return overload(excess, RefusalCause::Overloaded);
+}
+
+std::optional<Refusal>
+GroupAdmission::checkByStatus(const GroupDemand& aDemand, Instant aNow) const
+{
+  const GroupStatus& status = mTold->status;
+  const bool isStalled =
+    status.idleTime >= mOptions.stalledGaps * gapOf(aDemand);
+  if (!status.isOpen || isStalled) {
+    return Refusal{ .retryAfter = mOptions.stallRetryAfter,
+                    .cause = RefusalCause::Stalled };
+  }
+  const int ownChange = aDemand.ownStreams - mTold->ownStreams;
+  const double streams =
+    std::max(0, mTold->totalLoad + ownChange * std::max(1, status.gateways)) +
+    1;
+  const double slots =
+    static_cast<double>(status.loads.size()) * aDemand.slotsPerRank;
+  const double excess =
+    slots > 0 ? streams / (slots * mOptions.maxLoadPerSlot) - 1 : 0;
+  if (excess > 0) {
+    return overload(excess, RefusalCause::NoSlot);
+  }
+  return checkPassTime(mGroupPasses, streams, aDemand, aNow);
+}
+
+std::optional<Refusal>
+GroupAdmission::checkByOwnStreams(const GroupDemand& aDemand,
+                                  Instant aNow) const
+{
+  if (aDemand.ownStreams < mOptions.minStreams) {
+    return std::nullopt;
+  }
+  if (mLastProgressAt &&
+      aNow - *mLastProgressAt >= mOptions.stalledGaps * gapOf(aDemand)) {
+    return Refusal{ .retryAfter = mOptions.stallRetryAfter,
+                    .cause = RefusalCause::Stalled };
+  }
+  return checkPassTime(mOwnPasses, aDemand.ownStreams + 1, aDemand, aNow);
+}
+
+std::optional<Refusal>
+GroupAdmission::checkAdmission(const GroupDemand& aDemand, Instant aNow) const
+{
+  return mTold && aNow - mTold->at <= mOptions.maxStatusAge
+           ? checkByStatus(aDemand, aNow)
+           : checkByOwnStreams(aDemand, aNow);
 }
 
 } // namespace laburnum::gateway
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -48,13 +48,6 @@
   dispatch();
 }
 
-Duration
-RequestForwarder::emptyPassTime() const
-{
-  const EngineRuntime& runtime = *mService->runtime;
-  return fromSeconds(runtime.stepMs * runtime.stepsPerPass / 1000);
-}
-
 void
 RequestForwarder::startTimer(Duration aTime, bool aIsAttempt)
 {
@@ -219,7 +212,10 @@
     mMaxGap = std::max(mMaxGap, gap);
     if (mDemand.isGeneration) {
       mContext.admissions[mService->name].recordGap(
-        gap, mContext.activeStreams[mService->name], emptyPassTime(), now);
+        gap,
+        mContext.activeStreams[mService->name],
+        mService->runtime->emptyPassTime(),
+        now);
     }
   }
   mLastEventAt = now;
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -151,6 +151,8 @@
 {
   mDemand.isGeneration = mService->runtime.has_value();
   mDemand.group = mDemand.isGeneration ? mService->name : "";
+  mDemand.gapObjective = mRoute->gapObjective;
+  mDemand.firstEventObjective = mRoute->latencyObjective;
   mDemand.promptTokens = static_cast<double>(
     leadingNumber<std::int64_t>(mRequest[mContext.names.promptTokens])
       .value_or(0));
@@ -167,9 +169,10 @@
     return true;
   }
   const auto refusal = mContext.admissions[mService->name].checkAdmission(
-    mContext.activeStreams[mService->name],
-    mRoute->gapObjective,
-    emptyPassTime(),
+    { .ownStreams = mContext.activeStreams[mService->name],
+      .maxGap = mRoute->gapObjective,
+      .emptyPass = mService->runtime->emptyPassTime(),
+      .slotsPerRank = mService->runtime->slots },
     mStartedAt);
   if (refusal) {
     mRefusalCause = nameIn(kRefusalCauseNames, refusal->cause);
--- a/gateway/src/retry_budget.cpp
+++ b/gateway/src/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/gateway/retry_budget.hpp"
 
+#include <algorithm>
+
 namespace laburnum::gateway {
 
 RetryBudget::RetryBudget(RetryBudgetOptions aOptions)
@@ -30,6 +32,26 @@
   mRequests.push_back(aNow);
 }
 
+void
+RetryBudget::setGateways(int aGateways, Instant aNow)
+{
+  if (aNow - mMaxGatewaysAt >= mOptions.window) {
+    mPreviousMaxGateways = mMaxGateways;
+    mMaxGateways = 0;
+    mMaxGatewaysAt = aNow;
+  }
+  mMaxGateways = std::max(mMaxGateways, aGateways);
+}
+
+double
+RetryBudget::gateways() const
+{
+  const int told = std::max(mMaxGateways, mPreviousMaxGateways);
+  // One full period shows whether the number is still growing.
+  return mPreviousMaxGateways > 0 ? told * mOptions.gatewayMargin
+                                  : mOptions.gateways;
+}
+
 bool
 RetryBudget::tryAcquire(Instant aNow)
 {
@@ -39,7 +61,7 @@
   const bool hasSlack = aNow - mStartedAt >= mOptions.window;
   const double allowed = mOptions.ratio * mOptions.ratioShare *
                            static_cast<double>(mRequests.size()) +
-                         (hasSlack ? mOptions.slack / mOptions.gateways : 0);
+                         (hasSlack ? mOptions.slack / gateways() : 0);
   if (static_cast<double>(mRetries.size() + 1) > allowed) {
     return false;
   }
--- a/gateway/src/server_selector.cpp
+++ b/gateway/src/server_selector.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/gateway/server_selector.hpp"
 
+#include "laburnum/gateway/load_levelling.hpp"
+
 #include <algorithm>
 
 namespace laburnum::gateway {
@@ -10,66 +12,156 @@
 /// Lower bound of the latency used for scoring, below that of any regular
 /// service. Prevents one fast response from attracting all requests.
 constexpr double kMinLatencyMs = 10;
-/// Added to the score of a server that is avoided; it is selected only if all
-/// servers are.
-constexpr double kBackoffPenalty = 1e9;
+/// Smoothing factor of the rate at which requests start, for each status.
+constexpr double kRateSmoothing = 0.3;
 
 } // namespace
 
 ServerSelector::ServerSelector(ServerSelectorOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mRandom(mOptions.seed)
+{
+}
+
+ServerSelector::Servers
+ServerSelector::eligible(const Servers& aServers,
+                         const std::set<std::string>& aExcluded,
+                         Instant aNow) const
+{
+  Servers candidates;
+  Servers avoided;
+  for (const ServerRecord* server : aServers) {
+    if (aExcluded.contains(server->id)) {
+      continue;
+    }
+    const auto found = mServers.find(server->id);
+    const bool isAvoided =
+      found != mServers.end() && found->second.backoffUntil > aNow;
+    (isAvoided ? avoided : candidates).push_back(server);
+  }
+  return candidates.empty() ? avoided : candidates;
+}
+
+const ServerSelector::Group*
+ServerSelector::freshGroup(const std::string& aName, Instant aNow) const
 {
+  const auto found = mGroups.find(aName);
+  return found != mGroups.end() &&
+             aNow - found->second.updatedAt <= mOptions.maxStatusAge
+           ? &found->second
+           : nullptr;
 }
 
 double
-ServerSelector::score(const ServerRecord& aServer,
-                      const Demand& aDemand,
-                      Instant aNow) const
+ServerSelector::rankLoad(const ServerRecord& aServer, const Group* aGroup) const
 {
   const auto found = mServers.find(aServer.id);
   const State state = found == mServers.end() ? State{} : found->second;
   double requests = state.inFlight;
-  for (const auto& [peer, loads] : mPeers) {
-    const auto load = loads.find(aServer.id);
-    requests += load == loads.end() ? 0 : load->second;
+  if (aGroup != nullptr) {
+    const auto told = aGroup->status.loads.find(aServer.id);
+    if (told != aGroup->status.loads.end()) {
+      requests = std::max(0, told->second + state.startedSinceStatus);
+    }
+  }
+  // The failure domain only breaks ties, because a more loaded rank delays its
+  // whole group, and a slow rank does so even under low load.
+  const double remotePenalty = aServer.failureDomain == mOptions.failureDomain
+                                 ? 0
+                                 : mOptions.remoteDomainFactor - 1;
+  return (requests + 1 + state.promptTokens / mOptions.tokensPerRequest) *
+           aServer.slowdown +
+         remotePenalty;
+}
+
+const ServerRecord*
+ServerSelector::selectRank(const Servers& aServers,
+                           const Demand& aDemand,
+                           Instant aNow)
+{
+  const Group* group = freshGroup(aDemand.group, aNow);
+  std::vector<double> loads;
+  for (const ServerRecord* server : aServers) {
+    loads.push_back(rankLoad(*server, group));
+  }
+  double arrivals = 1;
+  if (group != nullptr) {
+    const double age =
+      toSeconds(aNow - group->updatedAt + mOptions.statusDelay);
+    arrivals +=
+      group->startsPerSecond * age * std::max(0, group->status.gateways - 1);
   }
+  return aServers[drawLevelled(loads, arrivals, mRandom.unit())];
+}
+
+double
+ServerSelector::latencyScore(const ServerRecord& aServer) const
+{
+  const auto found = mServers.find(aServer.id);
+  const State state = found == mServers.end() ? State{} : found->second;
   const double factor = aServer.failureDomain == mOptions.failureDomain
                           ? 1
                           : mOptions.remoteDomainFactor;
-  double score = 0;
-  if (aDemand.isGeneration) {
-    // The failure domain only breaks ties, because a more loaded rank delays
-    // its whole group, and a slow rank does so even under low load.
-    score = (requests + 1 + state.promptTokens / mOptions.tokensPerRequest) *
-              aServer.slowdown +
-            (factor - 1);
-  } else {
-    score = (requests + 1) * std::max(state.latencyMs, kMinLatencyMs) * factor;
-  }
-  return score + (state.backoffUntil > aNow ? kBackoffPenalty : 0);
+  return (state.inFlight + 1) * std::max(state.latencyMs, kMinLatencyMs) *
+         factor;
 }
 
 const ServerRecord*
-ServerSelector::select(const std::vector<const ServerRecord*>& aServers,
-                       const Demand& aDemand,
-                       const std::set<std::string>& aExcluded,
-                       Instant aNow) const
+ServerSelector::selectPlain(const Servers& aServers)
 {
+  // At random among equals: gateways that have just started know no latency
+  // and would all begin with the same server.
   const ServerRecord* best = nullptr;
   double bestScore = 0;
+  std::uint64_t equals = 0;
   for (const ServerRecord* server : aServers) {
-    if (aExcluded.contains(server->id)) {
-      continue;
-    }
-    const double value = score(*server, aDemand, aNow);
-    if (best == nullptr || value < bestScore) {
+    const double score = latencyScore(*server);
+    if (best == nullptr || score < bestScore) {
+      best = server;
+      bestScore = score;
+      equals = 1;
+    } else if (score == bestScore && mRandom.below(++equals) == 0) {
       best = server;
-      bestScore = value;
     }
   }
   return best;
 }
 
+const ServerRecord*
+ServerSelector::select(const std::vector<const ServerRecord*>& aServers,
+                       const Demand& aDemand,
+                       const std::set<std::string>& aExcluded,
+                       Instant aNow)
+{
+  const Servers candidates = eligible(aServers, aExcluded, aNow);
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  return aDemand.isGeneration ? selectRank(candidates, aDemand, aNow)
+                              : selectPlain(candidates);
+}
+
+void
+ServerSelector::setGroupLoads(const std::string& aGroup,
+                              const GroupStatus& aStatus,
+                              Instant aNow)
+{
+  Group& group = mGroups[aGroup];
+  const double elapsed = toSeconds(aNow - group.updatedAt);
+  if (elapsed > 0 && aNow - group.updatedAt <= mOptions.maxStatusAge) {
+    group.startsPerSecond +=
+      kRateSmoothing * (group.started / elapsed - group.startsPerSecond);
+  }
+  group.status = aStatus;
+  group.updatedAt = aNow;
+  group.started = 0;
+  for (auto& [id, state] : mServers) {
+    if (state.group == aGroup) {
+      state.startedSinceStatus = 0;
+    }
+  }
+}
+
 void
 ServerSelector::requestStarted(const std::string& aServerId,
                                const Demand& aDemand,
@@ -80,7 +172,14 @@
   if (state.inFlight++ == 0) {
     state.lastActivityAt = aNow;
     state.hasResponded = false;
+    state.gapObjective = Duration(0);
+    state.firstEventObjective = Duration(0);
   }
+  state.gapObjective = std::max(state.gapObjective, aDemand.gapObjective);
+  state.firstEventObjective =
+    std::max(state.firstEventObjective, aDemand.firstEventObjective);
+  ++state.startedSinceStatus;
+  ++mGroups[aDemand.group].started;
   state.promptTokens += aDemand.promptTokens;
   ++mInFlight;
 }
@@ -99,6 +198,7 @@
   }
   State& state = found->second;
   --state.inFlight;
+  --state.startedSinceStatus;
   state.promptTokens -= aDemand.promptTokens;
   if (aOutcome == AttemptOutcome::Completed ||
       aOutcome == AttemptOutcome::Failed) {
@@ -134,20 +234,32 @@
   }
 }
 
+Duration
+ServerSelector::gapOf(const State& aState) const
+{
+  return aState.gapObjective > Duration(0) ? aState.gapObjective
+                                           : mOptions.defaultGap;
+}
+
 std::vector<std::string>
 ServerSelector::silentServers(Instant aNow) const
 {
   std::set<std::string_view> activeGroups;
   for (const auto& [id, state] : mServers) {
     if (state.inFlight > 0 && state.hasResponded &&
-        aNow - state.lastActivityAt < mOptions.groupActivityWindow) {
+        aNow - state.lastActivityAt < mOptions.activeGaps * gapOf(state)) {
       activeGroups.insert(state.group);
     }
   }
   std::vector<std::string> ids;
   for (const auto& [id, state] : mServers) {
+    Duration timeout = mOptions.silentGaps * gapOf(state);
+    if (!state.hasResponded) {
+      timeout = std::max<Duration>(
+        timeout, mOptions.silentObjectives * state.firstEventObjective);
+    }
     if (!state.group.empty() && state.inFlight > 0 &&
-        aNow - state.lastActivityAt >= mOptions.silenceTimeout &&
+        aNow - state.lastActivityAt >= timeout &&
         activeGroups.contains(state.group)) {
       ids.push_back(id);
     }
@@ -162,25 +274,6 @@
   return found == mServers.end() ? 0 : found->second.inFlight;
 }
 
-std::map<std::string, int>
-ServerSelector::loads() const
-{
-  std::map<std::string, int> all;
-  for (const auto& [id, state] : mServers) {
-    if (state.inFlight > 0) {
-      all.emplace(id, state.inFlight);
-    }
-  }
-  return all;
-}
-
-void
-ServerSelector::setPeerLoads(const std::string& aPeer,
-                             std::map<std::string, int> aLoads)
-{
-  mPeers[aPeer] = std::move(aLoads);
-}
-
 void
 ServerSelector::removeServer(const std::string& aServerId)
 {
--- /dev/null
+++ b/gateway/src/store_freshness.cpp
@@ -0,0 +1,74 @@
+#include "laburnum/gateway/store_freshness.hpp"
+
+#include <algorithm>
+
+namespace laburnum::gateway {
+
+void
+StoreFreshness::recordConfiguration(std::uint64_t aVersion)
+{
+  mOwn.configurationVersion = std::max(mOwn.configurationVersion, aVersion);
+}
+
+void
+StoreFreshness::recordServers(std::uint64_t aRevision)
+{
+  mOwn.serversRevision = std::max(mOwn.serversRevision, aRevision);
+}
+
+void
+StoreFreshness::recordTold(const StoreNews& aNews, Instant aNow)
+{
+  mTold.configurationVersion =
+    std::max(mTold.configurationVersion, aNews.configurationVersion);
+  mTold.serversRevision =
+    std::max(mTold.serversRevision, aNews.serversRevision);
+  mToldAt = aNow;
+}
+
+bool
+StoreFreshness::isTold(Instant aNow) const
+{
+  return mToldAt && aNow - *mToldAt <= mOptions.maxNewsAge;
+}
+
+bool
+StoreFreshness::isBehind() const
+{
+  return mTold.configurationVersion > mOwn.configurationVersion ||
+         mTold.serversRevision > mOwn.serversRevision;
+}
+
+Duration
+StoreFreshness::watchWait(Instant aNow)
+{
+  mWaitsLong = mWaitsLong || isTold(aNow);
+  return isTold(aNow) ? mOptions.longWait : mOptions.shortWait;
+}
+
+bool
+StoreFreshness::takeRestart(Instant aNow)
+{
+  if (mWaitsLong && !isTold(aNow)) {
+    mWaitsLong = false;
+    return true;
+  }
+  if (!isBehind()) {
+    mBehindSince.reset();
+    return false;
+  }
+  if (!mBehindSince) {
+    mBehindSince = aNow;
+    return false;
+  }
+  if (aNow - *mBehindSince < mOptions.propagationTime) {
+    return false;
+  }
+  // What remains behind after a restart is no longer in the store's history.
+  mOwn = { std::max(mOwn.configurationVersion, mTold.configurationVersion),
+           std::max(mOwn.serversRevision, mTold.serversRevision) };
+  mBehindSince.reset();
+  return true;
+}
+
+} // namespace laburnum::gateway
--- /dev/null
+++ b/gateway/tests/fleet_replay.cpp
@@ -0,0 +1,256 @@
+#include "fleet_replay.hpp"
+
+#include <algorithm>
+#include <deque>
+
+namespace laburnum::gateway {
+namespace {
+
+constexpr Duration kTick = milliseconds(5);
+constexpr Duration kStatusPeriod = milliseconds(200);
+/// From the reports of the ranks to the gateways.
+constexpr Duration kStatusDelay = milliseconds(150);
+constexpr Instant kStart{ seconds(100) };
+
+struct Stream
+{
+  int gateway = 0;
+  Instant arrivedAt{};
+  int passesLeft = 0;
+  bool hasStarted = false;
+  bool isLate = false;
+};
+
+/// The group of ranks, the gateways before it and the streams between them.
+class Fleet
+{
+public:
+  explicit Fleet(const FleetLoad& aLoad)
+    : mLoad(aLoad)
+    , mRandom(aLoad.seed)
+    , mRanks(static_cast<std::size_t>(aLoad.ranks))
+  {
+    for (int rank = 0; rank < aLoad.ranks; ++rank) {
+      mRecords.push_back({ .id = "rank-" + std::to_string(rank),
+                           .service = "s",
+                           .failureDomain = domain(rank),
+                           .slots = aLoad.slots });
+    }
+    for (const ServerRecord& record : mRecords) {
+      mServers.push_back(&record);
+    }
+    for (int gateway = 0; gateway < aLoad.gateways; ++gateway) {
+      mSelectors.emplace_back(ServerSelectorOptions{
+        .failureDomain = domain(gateway),
+        .seed = aLoad.seed + static_cast<std::uint64_t>(gateway) });
+      mWeights.push_back(aLoad.gatewayWeight(gateway));
+      mTotalWeight += mWeights.back();
+    }
+    mAdmissions.resize(mSelectors.size());
+    mStreams.resize(mSelectors.size(), 0);
+  }
+
+  FleetOutcome run()
+  {
+    Instant passEnd = kStart;
+    Instant nextStatus = kStart;
+    double due = 0;
+    for (Instant now = kStart; now < kStart + mLoad.length; now += kTick) {
+      if (now >= passEnd) {
+        passEnd = now + beginPass(now);
+      }
+      if (now >= nextStatus) {
+        nextStatus += kStatusPeriod;
+        mStatuses.push_back({ now + kStatusDelay, status() });
+      }
+      while (!mStatuses.empty() && mStatuses.front().first <= now) {
+        tell(mStatuses.front().second, now);
+        mStatuses.pop_front();
+      }
+      due += mLoad.arrivalsPerSecond(now - kStart) * toSeconds(kTick);
+      for (; due >= 1; --due) {
+        arrive(drawGateway(), now);
+      }
+    }
+    return mOutcome;
+  }
+
+private:
+  static std::string domain(int aIndex)
+  {
+    return std::string(1, static_cast<char>('a' + aIndex % 5));
+  }
+
+  int drawGateway()
+  {
+    double remainder = mRandom.unit() * mTotalWeight;
+    std::size_t gateway = 0;
+    while (gateway + 1 < mWeights.size() && remainder >= mWeights[gateway]) {
+      remainder -= mWeights[gateway++];
+    }
+    return static_cast<int>(gateway);
+  }
+
+  int totalLoad() const
+  {
+    std::size_t total = 0;
+    for (const auto& rank : mRanks) {
+      total += rank.size();
+    }
+    return static_cast<int>(total);
+  }
+
+  GroupStatus status() const
+  {
+    GroupStatus status{ .isOpen = true,
+                        .passTime = fromSeconds(mPassMs / 1000),
+                        .gateways = mLoad.gateways };
+    for (std::size_t rank = 0; rank < mRanks.size(); ++rank) {
+      status.loads[mRecords[rank].id] = static_cast<int>(mRanks[rank].size());
+    }
+    return status;
+  }
+
+  void tell(const GroupStatus& aStatus, Instant aNow)
+  {
+    if (!mLoad.isStatusTold || mLoad.hasPlanner) {
+      return;
+    }
+    for (std::size_t gateway = 0; gateway < mSelectors.size(); ++gateway) {
+      mSelectors[gateway].setGroupLoads("g", aStatus, aNow);
+      mAdmissions[gateway].recordStatus(
+        aStatus, mStreams[gateway], emptyPass(), aNow);
+    }
+  }
+
+  Duration emptyPass() const { return fromSeconds(mLoad.emptyPassMs / 1000); }
+
+  /// Every rank runs its oldest streams; the others wait for a slot.
+  Duration beginPass(Instant aNow)
+  {
+    double streams = 0;
+    for (std::size_t rank = 0; rank < mRanks.size(); ++rank) {
+      int slots = mLoad.slots;
+      for (auto stream = mRanks[rank].begin();
+           stream != mRanks[rank].end() && slots > 0;
+           --slots) {
+        ++streams;
+        stream = advance(rank, stream, aNow);
+      }
+    }
+    mPassMs =
+      mLoad.emptyPassMs + mLoad.passMsPerStreamAndRank * streams / mLoad.ranks;
+    mOutcome.maxPassMs = std::max(mOutcome.maxPassMs, mPassMs);
+    return fromSeconds(mPassMs / 1000);
+  }
+
+  std::deque<Stream>::iterator advance(std::size_t aRank,
+                                       std::deque<Stream>::iterator aStream,
+                                       Instant aNow)
+  {
+    const auto gateway = static_cast<std::size_t>(aStream->gateway);
+    const std::string& id = mRecords[aRank].id;
+    mSelectors[gateway].recordActivity(id, aNow);
+    aStream->isLate =
+      aStream->isLate || mPassMs > toSeconds(mLoad.maxGap) * 1000;
+    // The prompt takes two passes, the second of which gives the first event.
+    if (!aStream->hasStarted &&
+        aStream->passesLeft <= mLoad.passesPerStream - 2) {
+      aStream->hasStarted = true;
+      aStream->isLate = aStream->isLate ||
+                        aNow - aStream->arrivedAt > mLoad.firstEventObjective;
+    }
+    if (--aStream->passesLeft > 0) {
+      return std::next(aStream);
+    }
+    ++(aStream->isLate ? mOutcome.late : mOutcome.inTime);
+    --mStreams[gateway];
+    mSelectors[gateway].requestEnded(
+      id, mDemand, AttemptOutcome::Completed, aNow - aStream->arrivedAt, aNow);
+    return mRanks[aRank].erase(aStream);
+  }
+
+  void arrive(int aGateway, Instant aNow)
+  {
+    ++mOutcome.arrivals;
+    const auto gateway = static_cast<std::size_t>(aGateway);
+    const auto rank = mLoad.hasPlanner ? planned() : placed(gateway, aNow);
+    if (!rank) {
+      ++mOutcome.rejected;
+      return;
+    }
+    const int slots = mLoad.ranks * mLoad.slots;
+    if (mRanks[*rank].size() >= static_cast<std::size_t>(mLoad.slots) &&
+        totalLoad() < slots * 9 / 10) {
+      ++mOutcome.misplaced;
+    }
+    ++mStreams[gateway];
+    mSelectors[gateway].requestStarted(mRecords[*rank].id, mDemand, aNow);
+    mRanks[*rank].push_back({ .gateway = aGateway,
+                              .arrivedAt = aNow,
+                              .passesLeft = mLoad.passesPerStream });
+  }
+
+  std::optional<std::size_t> placed(std::size_t aGateway, Instant aNow)
+  {
+    const auto refusal =
+      mAdmissions[aGateway].checkAdmission({ .ownStreams = mStreams[aGateway],
+                                             .maxGap = mLoad.maxGap,
+                                             .emptyPass = emptyPass(),
+                                             .slotsPerRank = mLoad.slots },
+                                           aNow);
+    if (refusal) {
+      mOutcome.maxRetryAfterSeconds =
+        std::max(mOutcome.maxRetryAfterSeconds, toSeconds(refusal->retryAfter));
+      return std::nullopt;
+    }
+    const ServerRecord* server =
+      mSelectors[aGateway].select(mServers, mDemand, {}, aNow);
+    return static_cast<std::size_t>(server - mRecords.data());
+  }
+
+  /// Least loaded rank while there is a slot and passes stay short enough.
+  std::optional<std::size_t> planned() const
+  {
+    const double pass = mLoad.emptyPassMs + mLoad.passMsPerStreamAndRank *
+                                              (totalLoad() + 1) / mLoad.ranks;
+    const auto least = std::min_element(
+      mRanks.begin(), mRanks.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.size() < aRight.size();
+      });
+    if (least->size() >= static_cast<std::size_t>(mLoad.slots) ||
+        pass > toSeconds(mLoad.maxGap) * 1000) {
+      return std::nullopt;
+    }
+    return static_cast<std::size_t>(least - mRanks.begin());
+  }
+
+  FleetLoad mLoad;
+  Random mRandom;
+  std::vector<ServerRecord> mRecords;
+  std::vector<const ServerRecord*> mServers;
+  std::vector<std::deque<Stream>> mRanks;
+  std::vector<ServerSelector> mSelectors;
+  std::vector<GroupAdmission> mAdmissions;
+  std::vector<int> mStreams; ///< By gateway.
+  std::vector<double> mWeights;
+  double mTotalWeight = 0;
+  std::deque<std::pair<Instant, GroupStatus>> mStatuses; ///< On their way.
+  ServerSelector::Demand mDemand{ .promptTokens = 780,
+                                  .isGeneration = true,
+                                  .group = "g",
+                                  .gapObjective = milliseconds(200),
+                                  .firstEventObjective = milliseconds(600) };
+  double mPassMs = 30;
+  FleetOutcome mOutcome;
+};
+
+} // namespace
+
+FleetOutcome
+replay(const FleetLoad& aLoad)
+{
+  return Fleet(aLoad).run();
+}
+
+} // namespace laburnum::gateway
--- /dev/null
+++ b/gateway/tests/fleet_replay.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "laburnum/gateway/group_admission.hpp"
+#include "laburnum/gateway/server_selector.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace laburnum::gateway {
+
+/// A load that is replayed against the decisions of many gateways before one
+/// group of ranks that execute passes together.
+struct FleetLoad
+{
+  int gateways = 60;
+  int ranks = 192;
+  int slots = 6; ///< Of a rank.
+  Duration length = seconds(10);
+  /// Streams that arrive per second at all gateways, by the time since start.
+  std::function<double(Duration)> arrivalsPerSecond;
+  /// Weight of a gateway in the arrivals: clients reach some gateways more.
+  std::function<double(int)> gatewayWeight = [](int aGateway) {
+    return 0.5 + aGateway % 3 * 0.5;
+  };
+  int passesPerStream = 17; ///< To process the prompt and generate events.
+  double emptyPassMs = 27;
+  double passMsPerStreamAndRank = 15;
+  Duration maxGap = milliseconds(200);
+  Duration firstEventObjective = milliseconds(600);
+  /// Groups are told to gateways; off: each knows its own streams only.
+  bool isStatusTold = true;
+  /// One planner with exact knowledge decides in place of the gateways.
+  bool hasPlanner = false;
+  std::uint64_t seed = 1;
+};
+
+/// What callers got.
+struct FleetOutcome
+{
+  int arrivals = 0;
+  int rejected = 0; ///< By gateways.
+  /// Streams sent to a rank without a free slot while a tenth of all slots was
+  /// free.
+  int misplaced = 0;
+  int inTime = 0; ///< First event and all gaps within the objectives.
+  int late = 0;
+  double maxPassMs = 0;
+  double maxRetryAfterSeconds = 0;
+
+  /// Streams in time count 1, late ones a half, as callers value them.
+  double worth() const { return inTime + late / 2.0; }
+};
+
+FleetOutcome
+replay(const FleetLoad& aLoad);
+
+} // namespace laburnum::gateway
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -39,6 +39,15 @@
 
 using Ids = std::vector<std::string>;
 
+/// A group whose passes take at least 18 ms and may take 120 ms.
+GroupDemand
+demandOf(int aStreams)
+{
+  return { .ownStreams = aStreams,
+           .maxGap = milliseconds(120),
+           .emptyPass = milliseconds(18) };
+}
+
 template<class T>
 bool
 holds(const RetryDecision& aDecision)
@@ -301,10 +310,12 @@
   const std::vector<const ServerRecord*> both{ &one, &two };
   ServerSelector selector({ .failureDomain = "a" });
   const ServerSelector::Demand small{ .promptTokens = 100,
-                                      .isGeneration = true };
+                                      .isGeneration = true,
+                                      .group = "g" };
   selector.requestStarted("one", small, kStartTime);
   CHECK(selector.select(both, small, {}, kStartTime)->id == "two");
-  selector.setPeerLoads("peer", { { "two", 2 } });
+  selector.setGroupLoads(
+    "g", { .loads = { { "one", 1 }, { "two", 3 } } }, kStartTime);
   CHECK(selector.select(both, small, {}, kStartTime)->id == "one");
   CHECK(selector.select(both, small, { "one" }, kStartTime)->id == "two");
 }
@@ -429,8 +440,7 @@
     }
   }
   int streams = 20;
-  while (!admission.checkAdmission(
-    streams, milliseconds(120), milliseconds(18), now)) {
+  while (!admission.checkAdmission(demandOf(streams), now)) {
     REQUIRE(streams < 200);
     ++streams;
   }
@@ -455,10 +465,9 @@
   };
   passes(50, 45);
   passes(6, 100);
-  CHECK(
-    !admission.checkAdmission(20, milliseconds(120), milliseconds(18), now));
+  CHECK(!admission.checkAdmission(demandOf(20), now));
   passes(6, 125);
-  CHECK(admission.checkAdmission(20, milliseconds(120), milliseconds(18), now));
+  CHECK(admission.checkAdmission(demandOf(20), now));
 }
 
 TEST_CASE("group_admission_outdatedMeasurement_admits")
@@ -466,8 +475,7 @@
   GroupAdmission admission;
   admission.recordGap(milliseconds(500), 10, milliseconds(18), kStartTime);
   const auto at = [&](Duration aAfter) {
-    return admission.checkAdmission(
-      10, milliseconds(120), milliseconds(18), kStartTime + aAfter);
+    return admission.checkAdmission(demandOf(10), kStartTime + aAfter);
   };
   CHECK(at(milliseconds(100)));
   CHECK(!at(seconds(2)));
@@ -479,8 +487,7 @@
   // would wait until they time out.
   GroupAdmission admission;
   const auto refusal = [&](int aStreams, Duration aAfter) {
-    return admission.checkAdmission(
-      aStreams, milliseconds(120), milliseconds(18), kStartTime + aAfter);
+    return admission.checkAdmission(demandOf(aStreams), kStartTime + aAfter);
   };
   admission.streamStarted(0, kStartTime - seconds(9));
   admission.streamStarted(1, kStartTime - seconds(8));
--- /dev/null
+++ b/gateway/tests/unit_fleet.cpp
@@ -0,0 +1,180 @@
+#include "fleet_replay.hpp"
+
+#include "laburnum/gateway/load_levelling.hpp"
+#include "laburnum/gateway/store_freshness.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::gateway;
+
+namespace {
+
+constexpr Instant kStartTime{ seconds(100) };
+
+/// Streams per second that take all slots of a fleet: with all slots taken a
+/// pass takes 117 ms, and a stream 17 passes.
+double
+capacity(const FleetLoad& aLoad)
+{
+  const double passMs =
+    aLoad.emptyPassMs + aLoad.passMsPerStreamAndRank * aLoad.slots;
+  return aLoad.ranks * aLoad.slots / (aLoad.passesPerStream * passMs / 1000);
+}
+
+/// A load of a share of the capacity, and `aCrest` times as much between the
+/// third and the sixth second.
+FleetLoad
+fleet(int aGateways, int aRanks, double aShare, double aCrest = 1)
+{
+  FleetLoad load{ .gateways = aGateways, .ranks = aRanks };
+  const double usual = capacity(load) * aShare;
+  load.arrivalsPerSecond = [usual, aCrest](Duration aSince) {
+    return aSince >= seconds(3) && aSince < seconds(6) ? usual * aCrest : usual;
+  };
+  return load;
+}
+
+} // namespace
+
+TEST_CASE("load_levelling_oneArrival_goesToLeastLoaded")
+{
+  for (const double unit : { 0.0, 0.3, 0.999 }) {
+    CHECK(drawLevelled({ 3, 1, 2.5, 4 }, 1, unit) == 1);
+  }
+  CHECK(drawLevelled({ 7 }, 5, 0.5) == 0);
+}
+
+TEST_CASE("load_levelling_manyArrivals_spreadByRoom")
+{
+  // Four arrivals bring loads of 1, 2 and 9 to 3.5, 3.5 and 9.
+  int first = 0;
+  int second = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::size_t drawn = drawLevelled({ 1, 2, 9 }, 4, i / 1000.0);
+    first += drawn == 0 ? 1 : 0;
+    second += drawn == 1 ? 1 : 0;
+  }
+  CHECK(first == Approx(625).margin(2));
+  CHECK(second == Approx(375).margin(2));
+}
+
+TEST_CASE("fleet_usualLoad_findsFreeSlotsAtAnySize")
+{
+  // Gateways see one request in sixty and the ranks' loads 150 to 350 ms late.
+  // Placing by the own requests alone, or all at the least loaded rank, fills
+  // some ranks while others are free.
+  const auto [gateways, ranks, length] = GENERATE(table<int, int, int>(
+    { { 4, 16, 10 }, { 14, 72, 8 }, { 60, 192, 6 }, { 410, 790, 3 } }));
+  FleetLoad load = fleet(gateways, ranks, 0.75);
+  load.length = seconds(length);
+  const FleetOutcome outcome = replay(load);
+  CAPTURE(
+    gateways, ranks, outcome.arrivals, outcome.misplaced, outcome.rejected);
+  CHECK(outcome.misplaced < outcome.arrivals / 100);
+  CHECK(outcome.rejected < outcome.arrivals / 100);
+}
+
+TEST_CASE("fleet_crest_earnsNearlyWhatAPlannerEarns")
+{
+  // Twice the load of all slots for three seconds, at many gateways at once.
+  const auto [gateways, ranks] =
+    GENERATE(table<int, int>({ { 4, 16 }, { 14, 72 }, { 60, 192 } }));
+  const std::uint64_t seed = GENERATE(1, 2);
+  FleetLoad load = fleet(gateways, ranks, 0.8, 2.5);
+  load.seed = seed;
+  load.length = seconds(9);
+  const FleetOutcome outcome = replay(load);
+  load.hasPlanner = true;
+  const FleetOutcome planner = replay(load);
+  CAPTURE(gateways, seed, outcome.inTime, outcome.late, outcome.rejected);
+  CAPTURE(planner.inTime, planner.late, planner.rejected);
+  CHECK(outcome.worth() >= 0.9 * planner.worth());
+}
+
+TEST_CASE("fleet_statusNotTold_servesUsualLoad")
+{
+  // A failure domain that is cut off from the keeper knows only its own
+  // streams.
+  FleetLoad load = fleet(60, 192, 0.5);
+  load.isStatusTold = false;
+  load.length = seconds(6);
+  const FleetOutcome outcome = replay(load);
+  CAPTURE(outcome.arrivals, outcome.rejected, outcome.misplaced);
+  CHECK(outcome.rejected < outcome.arrivals / 50);
+  CHECK(outcome.misplaced < outcome.arrivals / 10);
+}
+
+TEST_CASE("group_admission_groupFormsAnew_rejectsUntilItIsOpen")
+{
+  // All ranks stall for two seconds after one has crashed. Without a status a
+  // gateway with few streams notices it only when its clients are gone.
+  GroupAdmission admission;
+  const GroupDemand demand{ .ownStreams = 1,
+                            .maxGap = milliseconds(200),
+                            .emptyPass = milliseconds(27),
+                            .slotsPerRank = 6 };
+  GroupStatus status{ .isOpen = false,
+                      .gateways = 60,
+                      .loads = { { "a", 0 } } };
+  admission.recordStatus(status, 1, demand.emptyPass, kStartTime);
+  const auto refusal = admission.checkAdmission(demand, kStartTime);
+  REQUIRE(refusal);
+  CHECK(refusal->cause == RefusalCause::Stalled);
+  CHECK(refusal->retryAfter >= seconds(1));
+  status.isOpen = true;
+  admission.recordStatus(status, 1, demand.emptyPass, kStartTime);
+  CHECK_FALSE(admission.checkAdmission(demand, kStartTime));
+  status.idleTime = milliseconds(1100);
+  admission.recordStatus(status, 1, demand.emptyPass, kStartTime);
+  CHECK(admission.checkAdmission(demand, kStartTime));
+  // What was told is no longer used when it is old.
+  CHECK_FALSE(admission.checkAdmission(demand, kStartTime + seconds(2)));
+}
+
+TEST_CASE("store_freshness_whileOthersTell_watchesWaitLong")
+{
+  StoreFreshness freshness;
+  const StoreFreshnessOptions options;
+  CHECK(freshness.watchWait(kStartTime) == options.shortWait);
+  freshness.recordTold({}, kStartTime);
+  CHECK(freshness.watchWait(kStartTime) == options.longWait);
+  CHECK_FALSE(freshness.takeRestart(kStartTime + milliseconds(500)));
+  // Nobody tells any more: the long watch is ended once.
+  CHECK(freshness.takeRestart(kStartTime + seconds(1)));
+  CHECK_FALSE(freshness.takeRestart(kStartTime + seconds(2)));
+  CHECK(freshness.watchWait(kStartTime + seconds(2)) == options.shortWait);
+}
+
+TEST_CASE("store_freshness_responseOfWatchLost_restartsOnce")
+{
+  // The store carries a response out, but it never arrives, and the connection
+  // stays open. Other gateways have seen the version.
+  StoreFreshness freshness;
+  freshness.recordConfiguration(7);
+  freshness.recordServers(90);
+  Instant now = kStartTime;
+  const auto hear = [&](StoreNews aNews) {
+    now += milliseconds(200);
+    freshness.recordTold(aNews, now);
+    return freshness.takeRestart(now);
+  };
+  freshness.watchWait(now);
+  CHECK_FALSE(hear({ 7, 90 }));
+  CHECK_FALSE(hear({ 9, 90 }));
+  SECTION("the own watch returns it")
+  {
+    freshness.recordConfiguration(9);
+    for (int i = 0; i < 10; ++i) {
+      CHECK_FALSE(hear({ 9, 90 }));
+    }
+  }
+  SECTION("it does not")
+  {
+    CHECK_FALSE(hear({ 9, 90 }));
+    CHECK(hear({ 9, 90 }));
+    for (int i = 0; i < 10; ++i) {
+      CHECK_FALSE(hear({ 9, 90 }));
+    }
+  }
+}
--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
 
 private:
   ClientPool& mPool;
+  std::shared_ptr<std::set<Exchange*>> mExchanges;
   TcpStream mStream;
   beast::flat_buffer mBuffer;
   std::unique_ptr<beast::http::response_parser<beast::http::buffer_body>>
@@ -57,10 +59,14 @@
   asio::awaitable<Result<std::unique_ptr<Exchange>>> open(Duration aTimeout,
                                                           bool aFresh = false);
 
-  /// Sends a request and reads the whole response. Pre: none.
+  /// Sends a request and reads the whole response. The timeout covers both, so
+  /// that a peer that sends slowly and without end is given up. Pre: none.
   asio::awaitable<Result<Response>> request(Request aRequest,
                                             Duration aTimeout);
 
+  /// Aborts all exchanges in progress; their calls fail.
+  void abortAll();
+
   const contract::Address& address() const { return mAddress; }
 
 private:
@@ -70,6 +76,9 @@
   Loop& mLoop;
   contract::Address mAddress;
   std::vector<TcpStream> mIdle;
+  /// Exchanges in progress; shared, as these may outlive the pool.
+  std::shared_ptr<std::set<Exchange*>> mExchanges =
+    std::make_shared<std::set<Exchange*>>();
 };
 
 } // namespace laburnum::http
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -46,12 +46,15 @@
 
 Exchange::Exchange(ClientPool& aPool, TcpStream aStream)
   : mPool(aPool)
+  , mExchanges(aPool.mExchanges)
   , mStream(std::move(aStream))
 {
+  mExchanges->insert(this);
 }
 
 Exchange::~Exchange()
 {
+  mExchanges->erase(this);
   if (mDone && !mAborted && mBuffer.size() == 0 && mParser &&
       mParser->get().keep_alive()) {
     mPool.release(std::move(mStream));
@@ -153,19 +156,24 @@
 asio::awaitable<Result<Response>>
 ClientPool::request(Request aRequest, Duration aTimeout)
 {
+  const Instant deadline = mLoop.now() + aTimeout;
   auto exchange = co_await open(aTimeout);
   if (!exchange) {
     co_return exchange.failure();
   }
   aRequest.prepare_payload();
-  const auto sent = co_await (*exchange)->send(std::move(aRequest), aTimeout);
+  const auto remaining = [&] {
+    return std::max<Duration>(milliseconds(1), deadline - mLoop.now());
+  };
+  const auto sent =
+    co_await (*exchange)->send(std::move(aRequest), remaining());
   if (!sent) {
     co_return sent.failure();
   }
   Response response;
   response.base() = (*exchange)->head();
   for (;;) {
-    const auto part = co_await (*exchange)->readSome(aTimeout);
+    const auto part = co_await (*exchange)->readSome(remaining());
     if (!part) {
       co_return part.failure();
     }
@@ -177,6 +185,15 @@
   co_return response;
 }
 
+void
+ClientPool::abortAll()
+{
+  const std::set<Exchange*> exchanges = *mExchanges;
+  for (Exchange* exchange : exchanges) {
+    exchange->abort();
+  }
+}
+
 void
 ClientPool::release(TcpStream aStream)
 {
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -37,9 +37,11 @@
   /// 120 ms is the shortest pause between events that the users' data sheets
   /// allow.
   Duration maxCopyTime = milliseconds(120);
-  /// Limits the size of a change by the time that sending it to all ranks over
-  /// one link takes.
+  /// Limits the size of a change by the time that it takes to reach all ranks,
+  /// over the link of the keeper and that of a relay.
   Duration maxTransferTime = milliseconds(100);
+  /// Rate of the link of an instance of a steward.
+  double linkBytesPerSecond = 1e6;
   /// Minimum reduction of the largest load of a set by a copy, as a fraction
   /// of the mean load, for each second that the copy takes.
   double minGainPerCopySecond = 0.36;
@@ -104,6 +106,10 @@
   bool isSwitching() const { return !mSwitch.isIdle(); }
 
   experts::SwitchPhase phase() const { return mSwitch.phase(); }
+  /// Smoothed duration of a pass.
+  Duration passTime() const { return mPassTime; }
+  /// When the own rank was last seen to begin a pass.
+  Instant lastStepAt() const { return mLastStepAt; }
   /// The map in force when the states of all ranks were last known.
   const experts::GroupMap& currentMap() const { return mCurrentMap; }
 
@@ -129,6 +135,9 @@
   /// Pass time relative to that with even loads. aSkewSum is the sum of the
   /// skews of all sets.
   double relativePassTime(double aSkewSum) const;
+  /// Frames with a change that cross the links of the keeper and of a relay,
+  /// one after the other.
+  double framesPerChange() const;
   /// Time to send a change with this number of copies to all ranks.
   Duration transferTime(std::size_t aCopies) const;
   /// Builds the map in force from the experts that the ranks reported.
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/contract/settings.hpp"
 #include "laburnum/steward/engine.hpp"
+#include "laburnum/steward/group_summary.hpp"
 #include "laburnum/steward/hold_rescue.hpp"
 #include "laburnum/steward/keeper_choice.hpp"
 #include "laburnum/steward/map_duty.hpp"
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace laburnum::steward {
 
@@ -57,6 +59,8 @@
 
 private:
   using LinkPtr = std::shared_ptr<wire::Link>;
+  /// Fewer orders than this go to the ranks directly.
+  static constexpr std::size_t kMinRelayedOrders = 16;
   /// A recovery in progress, shared by the tasks that poll the engines and send
   /// orders for it.
   struct Recovery
@@ -109,6 +113,27 @@
   void processRankReport(const LinkPtr& aLink,
                          const wire::RankReportT& aReport);
   void sendOrder(const experts::RankOrder& aOrder);
+  /// Sends the orders of one tick. A map that goes to many ranks for the first
+  /// time goes through relays; what is repeated is sent to the rank itself, so
+  /// that a relay that fails costs only the interval of repetition.
+  void sendOrders(const std::vector<experts::RankOrder>& aOrders);
+  std::vector<std::size_t> relayedRanks(
+    const std::vector<experts::RankOrder>& aOrders);
+  /// @pre aRanks are linked, and their stewards have the whole map in force.
+  void sendThroughRelays(const experts::PrepareOrder& aPrepare,
+                         const std::vector<std::size_t>& aRanks);
+  void sendToSteward(const contract::Address& aSteward,
+                     const wire::RelayedOrderT& aOrder);
+  void processRelayedOrder(const LinkPtr& aLink,
+                           const wire::RelayedOrderT& aOrder);
+  void processOrder(const wire::RankOrderT& aOrder);
+  wire::RankOrderT buildPrepare(const experts::PrepareOrder& aPrepare);
+  void onReady(const LinkPtr& aLink);
+  void processGatewayNews(const wire::GatewayNewsT& aNews);
+  asio::awaitable<void> publishStatus();
+  wire::GroupStatusT buildStatus();
+  /// Sends the status to the gateways that are linked to this steward.
+  void forwardStatus(wire::GroupStatusT aStatus);
   const std::vector<wire::RankChange>& changesForPrepare(
     const experts::PrepareOrder& aPrepare);
   void tickMapController();
@@ -143,6 +168,19 @@
   std::optional<MapController> mMapController; ///< Of the keeper.
   std::string mControlledGroup;
   std::map<std::size_t, LinkPtr> mRankLinks; ///< Links to the keeper, by rank.
+  std::optional<GroupSummary> mSummary;      ///< Of the keeper.
+  std::set<std::size_t> mRelaysToGateways;   ///< Ranks with gateways.
+  std::set<LinkPtr> mGatewayLinks; ///< Gateways that follow the group.
+  bool mHasNewGateway = false;     ///< It lacks the addresses.
+  std::vector<wire::ServerAddress> mStatusServers; ///< As last received.
+  std::uint64_t mStatusCount = 0;
+  StoreNews mNews;         ///< From the gateways linked to this steward.
+  StoreNews mReportedNews; ///< To the keeper.
+  std::uint64_t mReportedLoad = 0;
+  std::size_t mReportedGateways = 0;
+  /// Links to other stewards, to which orders are passed on.
+  std::map<contract::Address, LinkPtr> mRelayLinks;
+  std::uint64_t mRelayedVersion = 0; ///< Last one sent through relays.
   std::uint64_t mLastVersion = 0;
   std::uint64_t mAwaitedVersion = 0; ///< The version that is being prepared.
   /// The old and the new version of `mCachedChanges`, which are computed once
--- a/steward/src/frames.cpp
+++ b/steward/src/frames.cpp
@@ -1,6 +1,7 @@
 #include "frames.hpp"
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
 #include <iterator>
 
 namespace laburnum::steward {
@@ -227,4 +228,54 @@
   return update;
 }
 
+RankPresence
+decodePresence(const wire::RankReportT& aReport)
+{
+  RankPresence presence{ .rank = aReport.rank,
+                         .load = aReport.load,
+                         .gateways = aReport.gateways,
+                         .news = { aReport.config_version,
+                                   aReport.servers_revision } };
+  if (const auto address = contract::parseAddress(aReport.server)) {
+    presence.server = *address;
+  }
+  return presence;
+}
+
+std::vector<std::uint8_t>
+encodeLoads(const std::vector<std::optional<std::uint32_t>>& aLoads)
+{
+  std::vector<std::uint8_t> loads;
+  for (const auto& load : aLoads) {
+    loads.push_back(load ? static_cast<std::uint8_t>(
+                             std::min<std::uint32_t>(*load, wire::kMaxRankLoad))
+                         : wire::kUnknownRankLoad);
+  }
+  return loads;
+}
+
+std::vector<wire::ServerAddress>
+encodeAddresses(const std::vector<contract::Address>& aAddresses)
+{
+  std::vector<wire::ServerAddress> encoded;
+  for (const contract::Address& address : aAddresses) {
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address_v4(address.host, error);
+    encoded.emplace_back(error ? 0 : ip.to_uint(), error ? 0 : address.port);
+  }
+  return encoded;
+}
+
+std::vector<contract::Address>
+decodeAddresses(const std::vector<wire::ServerAddress>& aAddresses)
+{
+  std::vector<contract::Address> decoded;
+  for (const wire::ServerAddress& address : aAddresses) {
+    decoded.push_back(
+      { .host = boost::asio::ip::address_v4(address.ip()).to_string(),
+        .port = address.port() });
+  }
+  return decoded;
+}
+
 } // namespace laburnum::steward
--- a/steward/src/frames.hpp
+++ b/steward/src/frames.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "laburnum/steward/group_summary.hpp"
 #include "laburnum/steward/map_duty.hpp"
 #include "laburnum/wire/message.hpp"
 
@@ -38,6 +39,23 @@
 RankUpdate
 decodeReport(const wire::RankReportT& aReport);
 
+/// Encodes the requests of each rank in a byte; an unknown number has the
+/// largest value, and any number that does not fit the one below.
+std::vector<std::uint8_t>
+encodeLoads(const std::vector<std::optional<std::uint32_t>>& aLoads);
+
+/// Encodes IPv4 addresses; any other address becomes port 0, which stands for
+/// an unknown one.
+std::vector<wire::ServerAddress>
+encodeAddresses(const std::vector<contract::Address>& aAddresses);
+
+std::vector<contract::Address>
+decodeAddresses(const std::vector<wire::ServerAddress>& aAddresses);
+
+/// Decodes what a rank's report says for the summary of its group.
+RankPresence
+decodePresence(const wire::RankReportT& aReport);
+
 /// Returns the changes that turn one map of a group into another.
 /// @pre Both maps have the same number of sets and ranks.
 std::vector<wire::RankChange>
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -8,9 +8,6 @@
 
 /// Minimum time between two plans.
 constexpr Duration kPlanPeriod = milliseconds(100);
-/// The slowest link that the users specify for the instances of stewards,
-/// 8 Mbit/s.
-constexpr double kLinkBytesPerSecond = 1e6;
 /// Encoded size of one copy in a frame with the difference between two maps.
 constexpr double kChangeBytes = 8;
 /// Encoded size of an expert, or of the end of a rank's list, in a frame with a
@@ -74,6 +71,12 @@
   return update && update->hasFullMap;
 }
 
+double
+MapController::framesPerChange() const
+{
+  return 2 * std::sqrt(static_cast<double>(mRanks.size()));
+}
+
 Duration
 MapController::transferTime(std::size_t aCopies) const
 {
@@ -83,12 +86,12 @@
       mapEntries += static_cast<double>(slots.size() + 1);
     }
   }
-  double bytes = 0;
+  double bytes =
+    static_cast<double>(aCopies) * kChangeBytes * framesPerChange();
   for (std::size_t rank = 0; rank < mRanks.size(); ++rank) {
-    bytes += hasFullMap(rank) ? static_cast<double>(aCopies) * kChangeBytes
-                              : mapEntries * kMapEntryBytes;
+    bytes += hasFullMap(rank) ? 0 : mapEntries * kMapEntryBytes;
   }
-  return fromSeconds(bytes / kLinkBytesPerSecond);
+  return fromSeconds(bytes / mOptions.linkBytesPerSecond);
 }
 
 void
@@ -212,8 +215,8 @@
            .maxTotalCopiesPerRank = std::max<std::size_t>(1, copiesPerRank),
            .maxCopies = mRanks.size() * 2,
            .maxTotalCopies = static_cast<std::size_t>(
-             toSeconds(mOptions.maxTransferTime) * kLinkBytesPerSecond /
-             (kChangeBytes * static_cast<double>(mRanks.size()))),
+             toSeconds(mOptions.maxTransferTime) * mOptions.linkBytesPerSecond /
+             (kChangeBytes * framesPerChange())),
            .paces = slowdowns(),
            .minGain =
              mOptions.minGainPerCopySecond * toSeconds(mOptions.copyTime) };
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -55,7 +55,7 @@
     mSettings.control,
     mIdentity,
     wire::LinkEvents{
-      .ready = [](const LinkPtr&) {},
+      .ready = [this](const LinkPtr& aLink) { onReady(aLink); },
       .message =
         [this](const LinkPtr& aLink, wire::AnyMessage&& aMessage) {
           onMessage(aLink, std::move(aMessage));
@@ -68,6 +68,7 @@
         { "engine", mSettings.server.address.text() } });
   mLoop.spawn(pollEngine());
   mLoop.spawn(controlMap());
+  mLoop.spawn(publishStatus());
 }
 
 void
@@ -111,6 +112,8 @@
         { "keeper", mKeeperSelection.keeper().text() },
         { "engines", aEngines.size() } });
   mMapController.reset();
+  mSummary.reset();
+  mRelaysToGateways.clear();
   if (mKeeperLink) {
     mKeeperLink->close(Error::ServerLost,
                        "another steward controls the expert map now");
@@ -315,34 +318,53 @@
   if (const auto* report = std::get_if<wire::RankReportT>(&aMessage)) {
     processRankReport(aLink, *report);
   } else if (const auto* order = std::get_if<wire::RankOrderT>(&aMessage)) {
-    if (aLink != mKeeperLink) {
-      return;
+    if (aLink == mKeeperLink) {
+      processOrder(*order);
     }
-    if (order->kind != wire::RankOrderKind::Prepare) {
-      mLoop.spawn(executeOrder(order->epoch, decodeOrder(*order)));
-    } else if (auto map = resolveMap(*order)) {
-      mMaps[order->version] = *map;
-      while (mMaps.size() > kMaxStoredMaps) {
-        mMaps.erase(mMaps.begin());
-      }
-      mLoop.spawn(executeOrder(order->epoch,
-                               experts::PrepareOrder{ order->version, *map }));
-    } else {
-      log(LogLevel::Warn,
-          "order_unreadable",
-          { { "version", order->version }, { "base", order->base } });
+  } else if (auto* status = std::get_if<wire::GroupStatusT>(&aMessage)) {
+    if (aLink == mKeeperLink) {
+      forwardStatus(std::move(*status));
+    }
+  } else if (const auto* news = std::get_if<wire::GatewayNewsT>(&aMessage)) {
+    processGatewayNews(*news);
+  } else if (const auto* relayed =
+               std::get_if<wire::RelayedOrderT>(&aMessage)) {
+    processRelayedOrder(aLink, *relayed);
+  }
+}
+
+void
+Steward::processOrder(const wire::RankOrderT& aOrder)
+{
+  if (aOrder.kind != wire::RankOrderKind::Prepare) {
+    mLoop.spawn(executeOrder(aOrder.epoch, decodeOrder(aOrder)));
+  } else if (auto map = resolveMap(aOrder)) {
+    mMaps[aOrder.version] = *map;
+    while (mMaps.size() > kMaxStoredMaps) {
+      mMaps.erase(mMaps.begin());
     }
+    mLoop.spawn(executeOrder(
+      aOrder.epoch, experts::PrepareOrder{ aOrder.version, std::move(*map) }));
+  } else {
+    log(LogLevel::Warn,
+        "order_unreadable",
+        { { "version", aOrder.version }, { "base", aOrder.base } });
   }
 }
 
 void
 Steward::onClosed(const LinkPtr& aLink)
 {
+  mGatewayLinks.erase(aLink);
   for (auto it = mRankLinks.begin(); it != mRankLinks.end();) {
     if (it->second == aLink) {
       if (mMapController) {
         mMapController->removeRank(it->first);
       }
+      if (mSummary) {
+        mSummary->removeRank(it->first);
+      }
+      mRelaysToGateways.erase(it->first);
       it = mRankLinks.erase(it);
     } else {
       ++it;
@@ -378,15 +400,25 @@
   if (!mMapController || mControlledGroup != mReport.group) {
     mMapController.emplace(mReport.rank, mReport.groupSize, mMapOptions);
     mControlledGroup = mReport.group;
+    mSummary.emplace(mReport.groupSize);
   }
   const RankUpdate update = decodeReport(aReport);
   if (!mMapController->knowsExperts(update)) {
     requestFullReport(aLink, "the experts of the rank are unknown");
     return;
   }
+  RankPresence presence = decodePresence(aReport);
+  presence.failureDomain =
+    aLink ? aLink->peer().domain : mSettings.failureDomain;
   if (aLink) {
     mRankLinks[aReport.rank] = aLink;
+    if (presence.gateways > 0) {
+      mRelaysToGateways.insert(aReport.rank);
+    } else {
+      mRelaysToGateways.erase(aReport.rank);
+    }
   }
+  mSummary->update(presence, mLoop.now());
   mMapController->update(update, mLoop.now());
 }
 
@@ -416,28 +448,33 @@
   if (prepare != nullptr && found->second->unsent() > 0) {
     return; // A second map in the queue would only delay the orders to arm.
   }
-  wire::RankOrderT frame;
-  frame.epoch = mReport.state.epoch;
-  const auto& currentMap = mMapController->currentMap();
   if (prepare != nullptr && mMapController->hasFullMap(aOrder.rank) &&
-      currentMap.size() == prepare->map.size()) {
-    frame.kind = wire::RankOrderKind::Prepare;
-    frame.version = prepare->version;
-    frame.base = mReport.state.inForce;
-    frame.changes = changesForPrepare(*prepare);
-  } else {
-    encodeOrder(frame, aOrder.order);
+      mMapController->currentMap().size() == prepare->map.size()) {
+    found->second->send(buildPrepare(*prepare));
+    return;
   }
+  wire::RankOrderT frame;
+  frame.epoch = mReport.state.epoch;
+  encodeOrder(frame, aOrder.order);
   found->second->send(std::move(frame));
 }
 
+wire::RankOrderT
+Steward::buildPrepare(const experts::PrepareOrder& aPrepare)
+{
+  wire::RankOrderT frame;
+  frame.epoch = mReport.state.epoch;
+  frame.kind = wire::RankOrderKind::Prepare;
+  frame.version = aPrepare.version;
+  frame.base = mReport.state.inForce;
+  frame.changes = changesForPrepare(aPrepare);
+  return frame;
+}
+
 void
 Steward::tickMapController()
 {
-  for (const experts::RankOrder& order :
-       mMapController->tick(mLoop.now(), nextVersion())) {
-    sendOrder(order);
-  }
+  sendOrders(mMapController->tick(mLoop.now(), nextVersion()));
   if (mMapController->phase() != mLoggedPhase) {
     mLoggedPhase = mMapController->phase();
     log(LogLevel::Info,
--- a/steward/src/steward_report.cpp
+++ b/steward/src/steward_report.cpp
@@ -13,6 +13,8 @@
 /// Maximum time between two reports, which show that the rank is alive when its
 /// state does not change.
 constexpr Duration kMaxReportPeriod = milliseconds(500);
+/// Minimum time between two reports of which only the load is new.
+constexpr Duration kLoadReportPeriod = milliseconds(200);
 /// Limits the counts that the keeper receives from all ranks together to a
 /// quarter of the slowest link that the users specify for the instances of
 /// stewards, 8 Mbit/s.
@@ -42,7 +44,8 @@
          state.prepared != mReportedState.prepared ||
          state.armed != mReportedState.armed ||
          state.held != mReportedState.held ||
-         mSlowdownFilter.slowdown() != mReportedSlowdown;
+         mSlowdownFilter.slowdown() != mReportedSlowdown ||
+         mNews != mReportedNews || mGatewayLinks.size() != mReportedGateways;
 }
 
 bool
@@ -85,8 +88,10 @@
     return;
   }
   const bool includeCounts = areCountsDue();
+  const Duration maxAge =
+    mReport.requests == mReportedLoad ? kMaxReportPeriod : kLoadReportPeriod;
   if (!includeCounts && !hasStateChanged() &&
-      mLoop.now() - mReportedAt < kMaxReportPeriod) {
+      mLoop.now() - mReportedAt < maxAge) {
     return;
   }
   const auto& state = mReport.state;
@@ -106,6 +111,13 @@
   frame.held = optionalToSigned(state.held);
   frame.knows_map = hasCurrentMap();
   frame.pace = static_cast<float>(mSlowdownFilter.slowdown());
+  frame.load = static_cast<std::uint32_t>(mReport.requests);
+  frame.gateways = static_cast<std::uint32_t>(mGatewayLinks.size());
+  frame.config_version = mNews.configurationVersion;
+  frame.servers_revision = mNews.serversRevision;
+  if (!mHasReportedExperts) {
+    frame.server = mSettings.server.address.text();
+  }
   if (!mHasReportedExperts || state.inForce != mReportedState.inForce ||
       state.epoch != mReportedState.epoch) {
     frame.experts = std::make_unique<wire::LayerMapT>();
@@ -121,6 +133,9 @@
   mHasReportedExperts = true;
   mReportedState = state;
   mReportedSlowdown = mSlowdownFilter.slowdown();
+  mReportedLoad = mReport.requests;
+  mReportedGateways = mGatewayLinks.size();
+  mReportedNews = mNews;
   mReportedAt = mLoop.now();
   if (isKeeper()) {
     processRankReport(nullptr, frame);
--- a/wire/include/laburnum/wire/message.hpp
+++ b/wire/include/laburnum/wire/message.hpp
@@ -42,7 +42,15 @@
                                 RankMessageT,
                                 PrepareMapT,
                                 RankReportT,
-                                RankOrderT>;
+                                RankOrderT,
+                                GroupStatusT,
+                                GatewayNewsT,
+                                RelayedOrderT>;
+
+/// In the loads of a GroupStatus: a rank whose load is not known, and the
+/// largest load that can be told.
+inline constexpr std::uint8_t kUnknownRankLoad = 255;
+inline constexpr std::uint8_t kMaxRankLoad = 254;
 
 /// Appends the length and the frame of a message.
 /// Pre: the message is shorter than kMaxFrameBytes. Thread safety: one thread
--- a/wire/src/message.cpp
+++ b/wire/src/message.cpp
@@ -63,6 +63,10 @@
     return aMessage.fingerprints.size() == aMessage.remaining_us.size() &&
            aMessage.fingerprints.size() == aMessage.crashes.size();
   }
+  bool operator()(const RelayedOrderT& aMessage) const
+  {
+    return aMessage.order != nullptr;
+  }
   template<class Other>
   bool operator()(const Other&) const
   {
@@ -132,7 +136,10 @@
                                              unpack<RankMessage>,
                                              unpack<PrepareMap>,
                                              unpack<RankReport>,
-                                             unpack<RankOrder> };
+                                             unpack<RankOrder>,
+                                             unpack<GroupStatus>,
+                                             unpack<GatewayNews>,
+                                             unpack<RelayedOrder> };
   const auto kind = static_cast<std::size_t>(frame->message_type());
   if (kind == 0 || kind >= std::size(kUnpackers)) {
     return damaged("the message's kind is unknown");
