--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -16,9 +16,6 @@
 /// Time after which reads at `kPreparePollPeriod` end. A copy takes less than
 /// half a second, and the regular reads notice a later end.
 constexpr Duration kPrepareTimeout = milliseconds(700);
-/// Number of maps kept as a base for differences: the map in force, the
-/// prepared one and two abandoned ones.
-constexpr std::size_t kMaxStoredMaps = 4;
 /// Interval of ticks of the map controller while the map changes.
 constexpr Duration kSwitchTickPeriod = milliseconds(15);
 /// Interval of ticks of the map controller at other times.
@@ -257,21 +254,6 @@
   co_return true;
 }
 
-std::optional<experts::GroupMap>
-Steward::resolveMap(const wire::RankOrderT& aFrame)
-{
-  if (!aFrame.places.empty()) {
-    return decodeMap(aFrame);
-  }
-  const auto base = mMaps.find(aFrame.base);
-  if (base == mMaps.end()) {
-    return std::nullopt;
-  }
-  experts::GroupMap map = base->second;
-  return applyChanges(aFrame.changes, map) ? std::optional(std::move(map))
-                                           : std::nullopt;
-}
-
 asio::awaitable<void>
 Steward::waitUntilPrepared(std::uint64_t aVersion)
 {
@@ -333,25 +315,6 @@
   }
 }
 
-void
-Steward::processOrder(const wire::RankOrderT& aOrder)
-{
-  if (aOrder.kind != wire::RankOrderKind::Prepare) {
-    mLoop.spawn(executeOrder(aOrder.epoch, decodeOrder(aOrder)));
-  } else if (auto map = resolveMap(aOrder)) {
-    mMaps[aOrder.version] = *map;
-    while (mMaps.size() > kMaxStoredMaps) {
-      mMaps.erase(mMaps.begin());
-    }
-    mLoop.spawn(executeOrder(
-      aOrder.epoch, experts::PrepareOrder{ aOrder.version, std::move(*map) }));
-  } else {
-    log(LogLevel::Warn,
-        "order_unreadable",
-        { { "version", aOrder.version }, { "base", aOrder.base } });
-  }
-}
-
 void
 Steward::onClosed(const LinkPtr& aLink)
 {
@@ -422,55 +385,6 @@
   mMapController->update(update, mLoop.now());
 }
 
-const std::vector<wire::RankChange>&
-Steward::changesForPrepare(const experts::PrepareOrder& aPrepare)
-{
-  const auto versions = std::pair(mReport.state.inForce, aPrepare.version);
-  if (mCachedChangeVersions != versions) {
-    mCachedChangeVersions = versions;
-    mCachedChanges = diffMaps(mMapController->currentMap(), aPrepare.map);
-  }
-  return mCachedChanges;
-}
-
-void
-Steward::sendOrder(const experts::RankOrder& aOrder)
-{
-  if (aOrder.rank == mReport.rank) {
-    mLoop.spawn(executeOrder(mReport.state.epoch, aOrder.order));
-    return;
-  }
-  const auto found = mRankLinks.find(aOrder.rank);
-  if (found == mRankLinks.end()) {
-    return; // The state of the rank is unknown too; the change waits for it.
-  }
-  const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder.order);
-  if (prepare != nullptr && found->second->unsent() > 0) {
-    return; // A second map in the queue would only delay the orders to arm.
-  }
-  if (prepare != nullptr && mMapController->hasFullMap(aOrder.rank) &&
-      mMapController->currentMap().size() == prepare->map.size()) {
-    found->second->send(buildPrepare(*prepare));
-    return;
-  }
-  wire::RankOrderT frame;
-  frame.epoch = mReport.state.epoch;
-  encodeOrder(frame, aOrder.order);
-  found->second->send(std::move(frame));
-}
-
-wire::RankOrderT
-Steward::buildPrepare(const experts::PrepareOrder& aPrepare)
-{
-  wire::RankOrderT frame;
-  frame.epoch = mReport.state.epoch;
-  frame.kind = wire::RankOrderKind::Prepare;
-  frame.version = aPrepare.version;
-  frame.base = mReport.state.inForce;
-  frame.changes = changesForPrepare(aPrepare);
-  return frame;
-}
-
 void
 Steward::tickMapController()
 {
