Gateway: bound what a faulty server sends without end; comments are no progress

Cause: interim responses were read without end, a response that is buffered could grow to 64 MB (a gateway has 400 MB), an event without end likewise, and any byte of a stream counted as activity, so that a rank that sends a comment now and then never became silent.

Ruled out: heads: the parser ends them at 8 KB already.

--- a/gateway/include/laburnum/gateway/event_splitter.hpp
+++ b/gateway/include/laburnum/gateway/event_splitter.hpp
@@ -15,6 +15,10 @@
 {
   std::optional<std::uint64_t> id;
   std::string bytes;
+
+  /// False for comments and blank lines, which a server may send without
+  /// making progress.
+  bool hasData() const;
 };
 
 /// Splits a byte stream into complete server-sent events. An incomplete event,
@@ -30,6 +34,9 @@
   /// True if the beginning of an event is buffered.
   bool hasPartialEvent() const { return mCutter.isTorn(); }
 
+  /// True if the buffered event is longer than any that a server sends.
+  bool isEndless() const { return mCutter.isEndless(); }
+
 private:
   http::EventCutter mCutter;
 };
--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -106,6 +106,7 @@
   bool mOpen = false;
   bool mRequestSent = false;
   bool mWriteDone = false;
+  int mInterimResponses = 0; ///< Before the final one.
   bool mReusable = false;
   bool mAborted = false;
 };
--- a/gateway/src/event_splitter.cpp
+++ b/gateway/src/event_splitter.cpp
@@ -23,6 +23,15 @@
 
 } // namespace
 
+bool
+StreamEvent::hasData() const
+{
+  bool hasData = id.has_value();
+  http::eachField(
+    bytes, "data", [&hasData](std::string_view) { hasData = true; });
+  return hasData;
+}
+
 std::vector<StreamEvent>
 EventSplitter::add(std::string_view aBytes)
 {
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -22,6 +22,9 @@
 /// A stream with less time left would end before another server has processed
 /// its prompt again, which takes a few passes for a typical prompt.
 constexpr Duration kMinTimeToMigrate = milliseconds(1000);
+/// Limit of a response that is buffered until it is complete; a larger one is
+/// treated as invalid. A faulty server may send without end.
+constexpr std::size_t kMaxBufferedBytes = 8UL * 1024 * 1024;
 
 /// True for status codes that tell clients that the request was not executed.
 bool
@@ -173,13 +176,19 @@
 void
 RequestForwarder::handle(const ResponseBytes& aEvent)
 {
-  mContext.selector.recordActivity(mServerId, mContext.loop.now());
   if (!mIsEventStream) {
+    mContext.selector.recordActivity(mServerId, mContext.loop.now());
     mResponse.body().append(aEvent.bytes);
+    if (mResponse.body().size() > kMaxBufferedBytes) {
+      mResponse.body().clear();
+      finishAttempt(AttemptOutcome::InvalidResponse, "response too long");
+    }
     return;
   }
   if (!forwardEvents(aEvent.bytes)) {
     finishAttempt(AttemptOutcome::InvalidResponse, "event ID not consecutive");
+  } else if (mSplitter.isEndless()) {
+    finishAttempt(AttemptOutcome::InvalidResponse, "event too long");
   }
 }
 
@@ -188,16 +197,22 @@
 {
   const Instant now = mContext.loop.now();
   std::string completeEvents;
+  bool hasProgress = false;
   for (StreamEvent& event : mSplitter.add(aBytes)) {
     if (!mEventSequence.accept(event)) {
       return false;
     }
+    hasProgress = hasProgress || event.hasData();
     completeEvents += event.bytes;
   }
   if (completeEvents.empty()) {
     return true;
   }
-  mContext.admissions[mService->name].recordProgress(now);
+  // A stalled server may go on sending comments, or a byte now and then.
+  if (hasProgress) {
+    mContext.selector.recordActivity(mServerId, now);
+    mContext.admissions[mService->name].recordProgress(now);
+  }
   if (!mHasForwardedEvents) {
     mHasForwardedEvents = true;
     mFirstEventDelay = now - mStartedAt;
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kReadBytes = 8 * 1024;
 /// Limit of a response body; larger responses are treated as invalid.
 constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
+/// Interim responses before the final one; a faulty server may send them
+/// without end.
+constexpr int kMaxInterimResponses = 8;
 
 std::optional<Duration>
 parseKeepAlive(const ResponseHeader& aHead)
@@ -53,6 +56,7 @@
   mReusable = false;
   mRequestSent = false;
   mWriteDone = false;
+  mInterimResponses = 0;
   mOnIdleClosed = nullptr;
   ++mGeneration;
   if (mOpen) {
@@ -129,7 +133,12 @@
       }
       if (self->mParser->get().result_int() / 100 == 1) {
         // An interim response; the final one follows.
+        if (++self->mInterimResponses > kMaxInterimResponses) {
+          self->fail(bhttp::make_error_code(bhttp::error::bad_status));
+          return;
+        }
         self->mParser.emplace();
+        self->mParser->body_limit(kMaxBodyBytes);
         self->readHead();
         return;
       }
--- a/http/include/laburnum/http/sse.hpp
+++ b/http/include/laburnum/http/sse.hpp
@@ -18,6 +18,12 @@
   /// True if a part of an event is held back. Pre: none.
   bool isTorn() const { return !mPending.empty(); }
 
+  /// True if that part is longer than any event of a sound sender, so that the
+  /// rest need not be awaited.
+  bool isEndless() const { return mPending.size() > kMaxEventBytes; }
+
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
 private:
   std::string mPending;
 };
