Steward: ranks take turns with their counts, which describe the last quarter of a second

All stewards start together, so all 192 ranks reported their counts of the last 3 s at once, every 3 s; half of each report described the load before the shift, and 740 KB took a second over a link of 6 Mbit/s.

Change: a rank's turn follows from its number, and counts that wait lose weight with 250 ms. A change may take 200 ms to reach all ranks, as changes met the bound of 338 copies while skew was above 2. A rank whose steward reports is silent only after three objectives: 64 streams were moved in 20 s, most from ranks with a queue.

--- a/gateway/include/laburnum/gateway/server_selector.hpp
+++ b/gateway/include/laburnum/gateway/server_selector.hpp
@@ -33,6 +33,9 @@
   /// As above, for a rank that has not responded yet, in multiples of the
   /// objective of the first event; clients disconnect after four.
   int silentObjectives = 2;
+  /// As above, while the steward beside the rank reports its load: the instance
+  /// is not frozen, and the request more likely waits for a slot.
+  int silentObjectivesIfReported = 3;
   /// Other ranks count as active if they sent something within this many gaps.
   int activeGaps = 2;
   /// The gap for streams whose route states none.
--- a/gateway/src/server_selector.cpp
+++ b/gateway/src/server_selector.cpp
@@ -255,8 +255,13 @@
   for (const auto& [id, state] : mServers) {
     Duration timeout = mOptions.silentGaps * gapOf(state);
     if (!state.hasResponded) {
-      timeout = std::max<Duration>(
-        timeout, mOptions.silentObjectives * state.firstEventObjective);
+      const Group* group = freshGroup(state.group, aNow);
+      const int objectives =
+        group != nullptr && group->status.loads.contains(id)
+          ? mOptions.silentObjectivesIfReported
+          : mOptions.silentObjectives;
+      timeout =
+        std::max<Duration>(timeout, objectives * state.firstEventObjective);
     }
     if (!state.group.empty() && state.inFlight > 0 &&
         aNow - state.lastActivityAt >= timeout &&
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -39,7 +39,7 @@
   Duration maxCopyTime = milliseconds(120);
   /// Limits the size of a change by the time that it takes to reach all ranks,
   /// over the link of the keeper and that of a relay.
-  Duration maxTransferTime = milliseconds(100);
+  Duration maxTransferTime = milliseconds(200);
   /// Rate of the link of an instance of a steward.
   double linkBytesPerSecond = 1e6;
   /// Minimum reduction of the largest load of a set by a copy, as a fraction
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/steward/count_reporter.hpp"
 #include "laburnum/steward/engine.hpp"
 #include "laburnum/steward/group_summary.hpp"
 #include "laburnum/steward/hold_rescue.hpp"
@@ -98,7 +99,6 @@
   asio::awaitable<void> sendRecoveryOrder(RecoveryPtr aRecovery,
                                           experts::RankOrder aOrder);
   void reportToKeeper();
-  bool areCountsDue() const;
   bool hasStateChanged() const;
   void appendCounts(wire::RankReportT& aFrame);
   bool hasCurrentMap() const;
@@ -159,11 +159,10 @@
   EngineReport mReport;
   LoadedExperts mLoadedExperts;
   ExpertCounts mLastCounts;
-  std::vector<std::uint32_t> mUnreportedCounts;     ///< Since the last report.
+  CountReporter mCountReporter;
   std::map<std::uint64_t, experts::GroupMap> mMaps; ///< By version.
   experts::RankState mReportedState;                ///< To the keeper.
   Instant mReportedAt{};
-  Instant mCountsReportedAt{};
   bool mHasReportedExperts = false;
   std::optional<MapController> mMapController; ///< Of the keeper.
   std::string mControlledGroup;
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -25,6 +25,10 @@
 /// keeper held before a restart stalls the group during this time.
 constexpr Duration kStartupDelay = milliseconds(500);
 
+/// Share of the keeper's link for the counts of all ranks.
+constexpr double kCountsShareOfLink = 0.25;
+constexpr double kBytesPerMegabit = 125000;
+
 } // namespace
 
 Steward::Steward(Loop& aLoop,
@@ -41,6 +45,10 @@
                .domain = aSettings.failureDomain,
                .controlKey = aSettings.controlKey }
   , mKeeperSelection(aSettings.server.address)
+  , mCountReporter(
+      { .maxBytesPerSecond =
+          kCountsShareOfLink * aSettings.steward.linkMbps * kBytesPerMegabit,
+        .minPeriod = kReadPeriod })
 {
 }
 
@@ -233,14 +241,12 @@
   }
   const bool isContinuous =
     !hasEngineRestarted && counts->counts.size() == mLastCounts.counts.size();
-  mUnreportedCounts.resize(counts->counts.size(), 0);
+  std::vector<std::uint64_t> added(counts->counts.size(), 0);
   for (std::size_t i = 0; i < counts->counts.size(); ++i) {
     const std::uint64_t previous = isContinuous ? mLastCounts.counts[i] : 0;
-    if (counts->counts[i] >= previous) {
-      mUnreportedCounts[i] +=
-        static_cast<std::uint32_t>(counts->counts[i] - previous);
-    }
+    added[i] = counts->counts[i] - std::min(previous, counts->counts[i]);
   }
+  mCountReporter.add(added, mLoop.now());
   mLastCounts = *counts;
   const std::size_t sets = mLoadedExperts.experts.size();
   if (mReport.state.inForce == 0 && sets > 0 &&
--- a/steward/src/steward_report.cpp
+++ b/steward/src/steward_report.cpp
@@ -15,26 +15,9 @@
 constexpr Duration kMaxReportPeriod = milliseconds(500);
 /// Minimum time between two reports of which only the load is new.
 constexpr Duration kLoadReportPeriod = milliseconds(200);
-/// Limits the counts that the keeper receives from all ranks together to a
-/// quarter of the slowest link that the users specify for the instances of
-/// stewards, 8 Mbit/s.
-constexpr double kMaxCountBytesPerSecond = 250000;
 
 } // namespace
 
-bool
-Steward::areCountsDue() const
-{
-  // In larger groups each rank sends its counts less often, so that all ranks
-  // together stay within the limit. As the requests of all ranks are similar,
-  // the counts of some ranks represent all of them.
-  const double bytes = static_cast<double>(mLastCounts.counts.size()) *
-                       static_cast<double>(mReport.groupSize);
-  const Duration period = std::max<Duration>(
-    kReadPeriod, fromSeconds(bytes / kMaxCountBytesPerSecond));
-  return mLoop.now() - mCountsReportedAt >= period;
-}
-
 bool
 Steward::hasStateChanged() const
 {
@@ -58,25 +41,24 @@
 Steward::appendCounts(wire::RankReportT& aFrame)
 {
   const std::size_t sets = mLoadedExperts.experts.size();
-  if (sets == 0 || mUnreportedCounts.empty() ||
-      mUnreportedCounts.size() % sets != 0) {
+  const std::vector<double> counts =
+    mCountReporter.take(mReport.rank, mReport.groupSize, mLoop.now());
+  if (sets == 0 || counts.empty() || counts.size() % sets != 0) {
     return;
   }
-  const std::size_t experts = mUnreportedCounts.size() / sets;
+  const std::size_t experts = counts.size() / sets;
   for (std::size_t set = 0; set < sets; ++set) {
     const auto begin =
-      mUnreportedCounts.begin() + static_cast<std::ptrdiff_t>(set * experts);
+      counts.begin() + static_cast<std::ptrdiff_t>(set * experts);
     const auto maximum =
       *std::max_element(begin, begin + static_cast<std::ptrdiff_t>(experts));
     const double scale = std::max(1.0, maximum / 255.0);
     aFrame.scales.push_back(static_cast<float>(scale));
     for (std::size_t expert = 0; expert < experts; ++expert) {
-      aFrame.counts.push_back(static_cast<std::uint8_t>(
-        mUnreportedCounts[set * experts + expert] / scale));
+      aFrame.counts.push_back(
+        static_cast<std::uint8_t>(counts[set * experts + expert] / scale));
     }
   }
-  mUnreportedCounts.clear();
-  mCountsReportedAt = mLoop.now();
 }
 
 void
@@ -87,7 +69,8 @@
       !(isKeeper() || mKeeperLink)) {
     return;
   }
-  const bool includeCounts = areCountsDue();
+  const bool includeCounts =
+    mCountReporter.isDue(mReport.rank, mReport.groupSize, mLoop.now());
   const Duration maxAge =
     mReport.requests == mReportedLoad ? kMaxReportPeriod : kLoadReportPeriod;
   if (!includeCounts && !hasStateChanged() &&
