Gateway: a planned stop under load answers all that was accepted; whole maps go through relays

It happened here: while draining, connections without a request were closed every 50 ms, also those accepted a few ms before and those whose request lay in the socket; and the acceptor stayed open until the process ended.

--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -54,12 +54,16 @@
   /// Forwards to `RequestForwarder::migrateFrom` if a request is in progress.
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
 
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if no request is in progress, has arrived or is to
+  /// be expected: a client that has just connected sends one.
   void closeIfIdle();
 
   /// True while a request is being read or is in progress.
   bool isBusy() const { return mForwarder != nullptr || mIsReading; }
 
+  /// True if a request may be under way on a connection that is not busy.
+  bool expectsRequest() const;
+
 private:
   using Parser =
     http::beast::http::request_parser<http::beast::http::string_body>;
@@ -86,6 +90,7 @@
   std::shared_ptr<RequestForwarder> mForwarder;
   std::string mWriteBuffer;
   std::string mPendingBytes;
+  Instant mAcceptedAt;
   std::uint64_t mRequestCount = 0;
   bool mIsReading = false;
   bool mIsWriting = false;
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -22,6 +22,8 @@
 /// Time to receive a request body; the limits of the configuration do not cover
 /// it.
 constexpr Duration kBodyTimeout = seconds(10);
+/// Time within which a client that has connected sends its first request.
+constexpr Duration kFirstRequestTime = milliseconds(300);
 
 std::string
 formatSeconds(Duration aTime)
@@ -61,6 +63,7 @@
   : mContext(aContext)
   , mSocket(std::move(aSocket))
   , mTimer(aContext.loop.context())
+  , mAcceptedAt(aContext.loop.now())
 {
 }
 
@@ -344,10 +347,23 @@
   }
 }
 
+bool
+ClientConnection::expectsRequest() const
+{
+  if (mClosed || mIsWriting) {
+    return mIsWriting && !mClosed;
+  }
+  ErrorCode error;
+  const bool hasArrived =
+    mBuffer.size() > 0 || (mSocket.available(error) > 0 && !error);
+  return hasArrived || (mRequestCount == 0 &&
+                        mContext.loop.now() - mAcceptedAt < kFirstRequestTime);
+}
+
 void
 ClientConnection::closeIfIdle()
 {
-  if (!isBusy() && !mIsWriting) {
+  if (!isBusy() && !expectsRequest()) {
     close();
   }
 }
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -13,6 +13,9 @@
 
 /// Part of the grace period reserved for the exit of the process.
 constexpr Duration kStopMargin = milliseconds(400);
+/// Time before the exit of the process during which no connection is accepted,
+/// so that requests that arrived last are answered.
+constexpr Duration kLastRequestsTime = milliseconds(400);
 /// Interval of the checks for requests in progress while shutting down.
 constexpr Duration kDrainPollInterval = milliseconds(50);
 /// Interval of the checks for silent servers and stewards. Together with the
@@ -105,6 +108,9 @@
 {
   mAcceptor.async_accept([this](boost::system::error_code aError,
                                 ClientConnection::Socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return; // Closed while shutting down.
+    }
     if (aError) {
       // Usually out of file descriptors; the backlog holds the clients.
       log(LogLevel::Warn, "accept_failed", { { "reason", aError.message() } });
@@ -319,15 +325,24 @@
 Gateway::drain()
 {
   const Instant end = mContext.drainPolicy->endsAt;
+  const Instant lastAccept = end - kLastRequestsTime;
   co_await mLoop.sleep(kReadinessPropagationDelay);
   for (;;) {
     bool isBusy = false;
     for (const auto& weakClient : mClients) {
       if (const auto client = weakClient.lock()) {
         client->closeIfIdle();
-        isBusy = isBusy || client->isBusy();
+        isBusy = isBusy || client->isBusy() || client->expectsRequest();
       }
     }
+    if (mAcceptor.is_open() && (!isBusy || mLoop.now() >= lastAccept)) {
+      // What waits in the backlog is reset without having been read, and goes
+      // elsewhere. What was accepted is still answered.
+      boost::system::error_code ignored;
+      mAcceptor.close(ignored);
+      co_await mLoop.sleep(kDrainPollInterval);
+      continue;
+    }
     if (!isBusy || mLoop.now() >= end) {
       log(LogLevel::Info, "stopped", { { "cut", isBusy } });
       mLoop.stop();
--- a/gateway/tests/unit_gateway.cpp
+++ b/gateway/tests/unit_gateway.cpp
@@ -243,3 +243,82 @@
   CHECK(!fixture.gateway.applyConfiguration({ .version = 5 }));
   CHECK(fixture.gateway.context().configuration->version == 5);
 }
+
+namespace {
+
+/// Clients that send one request after the other, some on new connections and
+/// some on kept ones, and count what they got.
+struct LoadDuringStop
+{
+  GatewayFixture& fixture;
+  int answered = 0;
+  int refused = 0;     ///< With the promise that the request was not executed.
+  int cut = 0;         ///< Accepted, sent and closed without an answer.
+  int unreachable = 0; ///< The connection was not accepted.
+  int active = 0;
+
+  asio::awaitable<void> run(bool aKeepsConnections, Duration aPause)
+  {
+    ++active;
+    for (int i = 0; i < 1000 && unreachable == 0; ++i) {
+      Socket socket(fixture.loop.context());
+      boost::system::error_code error;
+      co_await socket.async_connect(
+        tcp::endpoint(asio::ip::address_v4::loopback(),
+                      fixture.gateway.clientAddress().port),
+        redirect_error(use_awaitable, error));
+      if (error) {
+        ++unreachable;
+        break;
+      }
+      // The first request of a connection follows after its client's way.
+      co_await fixture.loop.sleep(aPause);
+      bool keeps = true;
+      for (int request = 0; keeps; ++request) {
+        keeps = co_await exchangeOne(socket, request == 0) && aKeepsConnections;
+      }
+    }
+    --active;
+  }
+
+  /// Returns whether the connection may carry another request.
+  asio::awaitable<bool> exchangeOne(Socket& aSocket, bool aIsFirst)
+  {
+    boost::system::error_code error;
+    static constexpr std::string_view kRequest =
+      "GET /safe/x HTTP/1.1\r\nHost: h\r\nLaburnum-Attempt: a\r\n\r\n";
+    co_await asio::async_write(
+      aSocket, asio::buffer(kRequest), redirect_error(use_awaitable, error));
+    http::beast::flat_buffer buffer;
+    http::Response response;
+    if (!error) {
+      co_await bhttp::async_read(
+        aSocket, buffer, response, redirect_error(use_awaitable, error));
+    }
+    if (error) {
+      // A request on a kept connection may cross its close.
+      cut += aIsFirst ? 1 : 0;
+      co_return false;
+    }
+    ++(response.result_int() == 200 ? answered : refused);
+    co_return response.keep_alive();
+  }
+};
+
+} // namespace
+
+TEST_CASE("gateway_stopUnderLoad_answersAllThatItAccepted")
+{
+  // All gateways of a failure domain stop at once, so clients go on connecting
+  // until the process ends.
+  GatewayFixture fixture({ { response(200, kSignatureField, "x") } });
+  LoadDuringStop load{ .fixture = fixture };
+  for (int client = 0; client < 40; ++client) {
+    fixture.loop.spawn(load.run(client % 2 == 0, milliseconds(3 + client % 5)));
+  }
+  fixture.gateway.stopGracefully();
+  fixture.loop.run();
+  CAPTURE(load.answered, load.refused, load.unreachable);
+  CHECK(load.answered > 1000);
+  CHECK(load.cut == 0);
+}
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -117,17 +117,25 @@
   /// time goes through relays; what is repeated is sent to the rank itself, so
   /// that a relay that fails costs only the interval of repetition.
   void sendOrders(const std::vector<experts::RankOrder>& aOrders);
-  std::vector<std::size_t> relayedRanks(
+  /// Sends through relays what can be, and returns the ranks of these orders.
+  std::set<std::size_t> relayOrders(
     const std::vector<experts::RankOrder>& aOrders);
-  /// @pre aRanks are linked, and their stewards have the whole map in force.
-  void sendThroughRelays(const experts::PrepareOrder& aPrepare,
+  /// The ranks that are told a version for the first time, as changes or as a
+  /// whole map.
+  std::vector<std::size_t> relayedRanks(
+    const std::vector<experts::RankOrder>& aOrders,
+    bool aAsChanges) const;
+  /// @pre aRanks are linked, and their engines' addresses known.
+  void sendThroughRelays(const wire::RankOrderT& aOrder,
                          const std::vector<std::size_t>& aRanks);
+  bool canSendChanges(std::size_t aRank,
+                      const experts::PrepareOrder& aPrepare) const;
   void sendToSteward(const contract::Address& aSteward,
                      const wire::RelayedOrderT& aOrder);
   void processRelayedOrder(const LinkPtr& aLink,
                            const wire::RelayedOrderT& aOrder);
   void processOrder(const wire::RankOrderT& aOrder);
-  wire::RankOrderT buildPrepare(const experts::PrepareOrder& aPrepare);
+  wire::RankOrderT buildChanges(const experts::PrepareOrder& aPrepare);
   void onReady(const LinkPtr& aLink);
   void processGatewayNews(const wire::GatewayNewsT& aNews);
   asio::awaitable<void> publishStatus();
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -86,6 +86,8 @@
       mapEntries += static_cast<double>(slots.size() + 1);
     }
   }
+  // Whole maps are counted once for each rank, as repeats go to the ranks
+  // directly and must leave room for the orders to arm.
   double bytes =
     static_cast<double>(aCopies) * kChangeBytes * framesPerChange();
   for (std::size_t rank = 0; rank < mRanks.size(); ++rank) {
--- a/steward/src/steward_orders.cpp
+++ b/steward/src/steward_orders.cpp
@@ -43,9 +43,8 @@
   if (prepare != nullptr && found->second->unsent() > 0) {
     return; // A second map in the queue would only delay the orders to arm.
   }
-  if (prepare != nullptr && mMapController->hasFullMap(aOrder.rank) &&
-      mMapController->currentMap().size() == prepare->map.size()) {
-    found->second->send(buildPrepare(*prepare));
+  if (prepare != nullptr && canSendChanges(aOrder.rank, *prepare)) {
+    found->second->send(buildChanges(*prepare));
     return;
   }
   wire::RankOrderT frame;
@@ -54,8 +53,16 @@
   found->second->send(std::move(frame));
 }
 
+bool
+Steward::canSendChanges(std::size_t aRank,
+                        const experts::PrepareOrder& aPrepare) const
+{
+  return mMapController->hasFullMap(aRank) &&
+         mMapController->currentMap().size() == aPrepare.map.size();
+}
+
 wire::RankOrderT
-Steward::buildPrepare(const experts::PrepareOrder& aPrepare)
+Steward::buildChanges(const experts::PrepareOrder& aPrepare)
 {
   wire::RankOrderT frame;
   frame.epoch = mReport.state.epoch;
@@ -67,19 +74,17 @@
 }
 
 std::vector<std::size_t>
-Steward::relayedRanks(const std::vector<experts::RankOrder>& aOrders)
+Steward::relayedRanks(const std::vector<experts::RankOrder>& aOrders,
+                      bool aAsChanges) const
 {
   std::vector<std::size_t> ranks;
-  if (!mSummary || aOrders.size() < kMinRelayedOrders) {
-    return ranks;
-  }
   const auto servers = mSummary->servers();
   for (const experts::RankOrder& order : aOrders) {
     const auto* prepare = std::get_if<experts::PrepareOrder>(&order.order);
     if (prepare != nullptr && prepare->version > mRelayedVersion &&
         order.rank != mReport.rank && mRankLinks.contains(order.rank) &&
         servers[order.rank].port != 0 &&
-        mMapController->hasFullMap(order.rank)) {
+        canSendChanges(order.rank, *prepare) == aAsChanges) {
       ranks.push_back(order.rank);
     }
   }
@@ -87,14 +92,13 @@
 }
 
 void
-Steward::sendThroughRelays(const experts::PrepareOrder& aPrepare,
+Steward::sendThroughRelays(const wire::RankOrderT& aOrder,
                            const std::vector<std::size_t>& aRanks)
 {
   std::vector<std::string> domains;
   for (std::size_t rank = 0; rank < mReport.groupSize; ++rank) {
     domains.push_back(mSummary->failureDomain(rank));
   }
-  mRelayedVersion = aPrepare.version;
   const auto servers = mSummary->servers();
   for (const RelayChunk& chunk : relayChunks(aRanks, domains)) {
     wire::RelayedOrderT frame;
@@ -104,27 +108,50 @@
       targets.push_back(servers[target]);
     }
     frame.targets = encodeAddresses(targets);
-    frame.order = std::make_unique<wire::RankOrderT>();
-    *frame.order = buildPrepare(aPrepare);
+    frame.order = std::make_unique<wire::RankOrderT>(aOrder);
     mRankLinks[chunk.relay]->send(std::move(frame));
   }
 }
 
-void
-Steward::sendOrders(const std::vector<experts::RankOrder>& aOrders)
+std::set<std::size_t>
+Steward::relayOrders(const std::vector<experts::RankOrder>& aOrders)
 {
-  const std::vector<std::size_t> relayed = relayedRanks(aOrders);
-  if (relayed.size() >= kMinRelayedOrders) {
-    for (const experts::RankOrder& order : aOrders) {
-      if (order.rank == relayed.front()) {
-        sendThroughRelays(std::get<experts::PrepareOrder>(order.order),
-                          relayed);
-      }
+  std::set<std::size_t> relayed;
+  if (!mSummary || aOrders.size() < kMinRelayedOrders) {
+    return relayed;
+  }
+  std::uint64_t version = mRelayedVersion;
+  for (const bool asChanges : { true, false }) {
+    const std::vector<std::size_t> ranks = relayedRanks(aOrders, asChanges);
+    if (ranks.size() < kMinRelayedOrders) {
+      continue;
+    }
+    const auto first = std::find_if(
+      aOrders.begin(), aOrders.end(), [&ranks](const auto& aOrder) {
+        return aOrder.rank == ranks.front();
+      });
+    const auto& prepare = std::get<experts::PrepareOrder>(first->order);
+    wire::RankOrderT frame;
+    if (asChanges) {
+      frame = buildChanges(prepare);
+    } else {
+      frame.epoch = mReport.state.epoch;
+      encodeOrder(frame, prepare);
     }
+    sendThroughRelays(frame, ranks);
+    relayed.insert(ranks.begin(), ranks.end());
+    version = prepare.version;
   }
+  mRelayedVersion = version;
+  return relayed;
+}
+
+void
+Steward::sendOrders(const std::vector<experts::RankOrder>& aOrders)
+{
+  const std::set<std::size_t> relayed = relayOrders(aOrders);
   for (const experts::RankOrder& order : aOrders) {
-    if (relayed.size() < kMinRelayedOrders ||
-        !std::binary_search(relayed.begin(), relayed.end(), order.rank)) {
+    if (!relayed.contains(order.rank)) {
       sendOrder(order);
     }
   }
