Steward: repeat orders only after the answers of all ranks can be processed

The keeper has 0.15 of a core. Each order to arm is answered by a report; 192 of them took longer than the 60 ms after which all orders were repeated, which brought 192 more, so that the held step was released after 1.2 to 2.2 s. 2,535 to 3,629 orders to arm were refused in a second, as the ranks were armed.

Ruled out: the plan itself (10 ms of processor time for 192 ranks).

Change: intervals of repetition, the lead of the held step and the periods of plans and load reports follow the number of ranks; the map in force is built anew only when its version changes.

--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -140,6 +140,9 @@
   double framesPerChange() const;
   /// Time to send a change with this number of copies to all ranks.
   Duration transferTime(std::size_t aCopies) const;
+  /// Builds the current map anew if the version in force has changed.
+  /// @pre All ranks have reported.
+  void updateCurrentMap();
   /// Builds the map in force from the experts that the ranks reported.
   experts::GroupMap assembleMap() const;
 
@@ -153,7 +156,9 @@
   Instant mPlannedAt{};
   Instant mFirstCountsAt{};
   experts::GroupMap mCurrentMap; ///< When all ranks were last known.
-  std::uint64_t mLastStep = 0;   ///< Of the own rank.
+  /// Epoch and version of `mCurrentMap`, if all ranks had the same.
+  std::optional<std::pair<std::uint64_t, std::uint64_t>> mCurrentVersion;
+  std::uint64_t mLastStep = 0; ///< Of the own rank.
   Instant mLastStepAt{};
   Duration mPassTime = milliseconds(50); ///< Smoothed.
   double mSkew = 1;
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -6,8 +6,13 @@
 namespace laburnum::steward {
 namespace {
 
-/// Minimum time between two plans.
+/// Minimum time between two plans, and for each rank, as a plan takes longer
+/// for more ranks.
 constexpr Duration kPlanPeriod = milliseconds(100);
+constexpr Duration kPlanPeriodPerRank = milliseconds(1);
+/// Time for each rank to send it an order and to process the report with which
+/// it answers, on an instance with a seventh of a core.
+constexpr Duration kOrderTimePerRank = milliseconds(1);
 /// Encoded size of one copy in a frame with the difference between two maps.
 constexpr double kChangeBytes = 8;
 /// Encoded size of an expert, or of the end of a rank's list, in a frame with a
@@ -16,6 +21,27 @@
 /// Weight of a new pass time in the exponential moving average.
 constexpr double kPassSmoothing = 0.3;
 
+/// Repeats orders only after the answers of all ranks can have been processed:
+/// each repetition is answered too, and the keeper of a large group would fall
+/// ever further behind while the held step stalls the group.
+experts::HeldSwitchOptions
+switchOptions(std::size_t aRanks)
+{
+  experts::HeldSwitchOptions options;
+  const Duration orderTime =
+    kOrderTimePerRank * static_cast<std::int64_t>(aRanks);
+  options.retryInterval = std::max(options.retryInterval, orderTime);
+  options.prepareRetryInterval =
+    std::max(options.prepareRetryInterval, orderTime);
+  options.switchLead =
+    std::max<Duration>(options.switchLead, orderTime * 3 / 2);
+  options.switchLeadAfterLoss =
+    std::max<Duration>(options.switchLeadAfterLoss, orderTime * 3);
+  options.holdTimeout = std::max<Duration>(options.holdTimeout, orderTime * 6);
+  options.armTimeout = std::max<Duration>(options.armTimeout, orderTime * 9);
+  return options;
+}
+
 } // namespace
 
 MapController::MapController(std::size_t aOwnRank,
@@ -23,7 +49,7 @@
                              MapControllerOptions aOptions)
   : mOwnRank(aOwnRank)
   , mOptions(aOptions)
-  , mSwitch(aOwnRank, aRanks)
+  , mSwitch(aOwnRank, aRanks, switchOptions(aRanks))
   , mRanks(aRanks)
 {
 }
@@ -131,6 +157,24 @@
   }
 }
 
+void
+MapController::updateCurrentMap()
+{
+  // All ranks with the same version have the same map.
+  std::uint64_t lowest = mRanks[mOwnRank].update->state.inForce;
+  std::uint64_t highest = lowest;
+  std::uint64_t epoch = mRanks[mOwnRank].update->state.epoch;
+  for (const Rank& rank : mRanks) {
+    lowest = std::min(lowest, rank.update->state.inForce);
+    highest = std::max(highest, rank.update->state.inForce);
+  }
+  const auto version = std::pair(epoch, lowest);
+  if (lowest != highest || mCurrentMap.empty() || mCurrentVersion != version) {
+    mCurrentMap = assembleMap();
+    mCurrentVersion = lowest == highest ? std::optional(version) : std::nullopt;
+  }
+}
+
 experts::GroupMap
 MapController::assembleMap() const
 {
@@ -175,7 +219,7 @@
              ? std::vector<experts::RankOrder>{}
              : mSwitch.tick(aNow, states, mPassTime, version, mCurrentMap);
   }
-  mCurrentMap = assembleMap();
+  updateCurrentMap();
   if (mSwitch.canBegin() && isStable) {
     plan(aNow, version);
   }
@@ -234,7 +278,9 @@
 void
 MapController::plan(Instant aNow, std::uint64_t aVersion)
 {
-  if (aNow - mPlannedAt < kPlanPeriod || mLoads.empty() ||
+  const Duration period = std::max<Duration>(
+    kPlanPeriod, kPlanPeriodPerRank * static_cast<std::int64_t>(mRanks.size()));
+  if (aNow - mPlannedAt < period || mLoads.empty() ||
       aNow - mFirstCountsAt < mOptions.warmup ||
       mCurrentMap.size() != mLoads.size()) {
     return;
--- a/steward/src/steward_report.cpp
+++ b/steward/src/steward_report.cpp
@@ -13,8 +13,10 @@
 /// Maximum time between two reports, which show that the rank is alive when its
 /// state does not change.
 constexpr Duration kMaxReportPeriod = milliseconds(500);
-/// Minimum time between two reports of which only the load is new.
+/// Minimum time between two reports of which only the load is new, and for each
+/// rank of the group, as the keeper receives them all.
 constexpr Duration kLoadReportPeriod = milliseconds(200);
+constexpr Duration kLoadReportPeriodPerRank = milliseconds(2);
 
 } // namespace
 
@@ -71,8 +73,12 @@
   }
   const bool includeCounts =
     mCountReporter.isDue(mReport.rank, mReport.groupSize, mLoop.now());
+  const Duration loadPeriod = std::clamp<Duration>(
+    kLoadReportPeriodPerRank * static_cast<std::int64_t>(mReport.groupSize),
+    kLoadReportPeriod,
+    kMaxReportPeriod);
   const Duration maxAge =
-    mReport.requests == mReportedLoad ? kMaxReportPeriod : kLoadReportPeriod;
+    mReport.requests == mReportedLoad ? kMaxReportPeriod : loadPeriod;
   if (!includeCounts && !hasStateChanged() &&
       mLoop.now() - mReportedAt < maxAge) {
     return;
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 
 using namespace laburnum;
 using namespace laburnum::steward;
@@ -216,3 +217,68 @@
   CHECK(static_cast<double>(prepares) * kMapBytes <
         1e6 * toSeconds(kDuration) * 0.8);
 }
+
+TEST_CASE("map_controller_answersOfManyRanksArriveSlowly_switchStillCompletes")
+{
+  // The keeper of 192 ranks processes one report in a millisecond, as its
+  // instance has a seventh of a core. Orders to arm that were repeated every
+  // 60 ms were answered by 192 reports each time, so the keeper fell ever
+  // further behind and the group stood at the held step. Found by quiet-1 of
+  // the large garden with processor time counted.
+  constexpr std::size_t kManyRanks = 192;
+  MapController controller(
+    0, kManyRanks, { .slotsPerRank = 3, .standbySlotsPerRank = 1 });
+  std::vector<RankUpdate> ranks;
+  for (std::size_t rank = 0; rank < kManyRanks; ++rank) {
+    RankUpdate update{ .rank = rank, .groupSize = kManyRanks, .isOpen = true };
+    update.hasFullMap = true;
+    update.state = { .epoch = 1, .step = 5 };
+    update.experts = { { static_cast<std::uint16_t>(rank),
+                         static_cast<std::uint16_t>(rank + kManyRanks) } };
+    update.counts.assign(2 * kManyRanks, 10);
+    update.counts[0] = 900;
+    ranks.push_back(update);
+  }
+  std::deque<std::size_t> unread; // Ranks whose reports the keeper has to read.
+  for (std::size_t rank = 0; rank < kManyRanks; ++rank) {
+    unread.push_back(rank);
+  }
+  Instant now{ seconds(100) };
+  const Instant startedAt = now;
+  std::optional<Instant> armedAt;
+  std::size_t arms = 0;
+  std::size_t mostUnread = 0;
+  for (; now - startedAt < seconds(4); now += milliseconds(15)) {
+    for (int read = 0; read < 15 && !unread.empty(); ++read) {
+      controller.update(ranks[unread.front()], now);
+      unread.pop_front();
+    }
+    for (const auto& order : controller.tick(now, 10)) {
+      experts::RankState& state = ranks[order.rank].state;
+      if (const auto* prepare =
+            std::get_if<experts::PrepareOrder>(&order.order)) {
+        state.prepared = prepare->version;
+      } else if (const auto* arm =
+                   std::get_if<experts::ArmOrder>(&order.order)) {
+        armedAt = armedAt ? armedAt : now;
+        ++arms;
+        state.armed = arm->armed;
+      } else if (const auto* hold =
+                   std::get_if<experts::HoldOrder>(&order.order)) {
+        state.held = hold->step;
+      } else if (std::holds_alternative<experts::ReleaseOrder>(order.order)) {
+        REQUIRE(armedAt);
+        CHECK(now - *armedAt < milliseconds(500));
+        CHECK(arms < 2 * kManyRanks);
+        return;
+      }
+      unread.push_back(order.rank);
+    }
+    mostUnread = std::max(mostUnread, unread.size());
+    if (unread.empty()) {
+      unread.push_back(0); // The regular report of the keeper's own rank.
+    }
+  }
+  CAPTURE(arms, mostUnread);
+  FAIL("the held step was not released");
+}
