--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -93,7 +93,7 @@
         { "operators", mOperators->address().text() },
         { "failure_domain", mSettings.failureDomain } });
   accept();
-  mLoop.spawn(maintain());
+  mLoop.keepRunning("maintenance", [this] { return maintain(); });
 }
 
 contract::Address
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -84,6 +84,7 @@
 {
   if (aFollow.link && mContext.loop.now() - aFollow.heardAt > kMaxSilence) {
     ++aFollow.candidate;
+    log(LogLevel::Info, "group_untold", { { "service", aService } });
     aFollow.link->close(Error::ServerLost, "the steward tells nothing");
     aFollow.link.reset();
   }
@@ -119,6 +120,10 @@
           follow.link = aLink;
           follow.heardAt = mContext.loop.now();
           follow.toldNews = {};
+          log(
+            LogLevel::Info,
+            "group_followed",
+            { { "service", aService }, { "steward", aLink->peer().instance } });
           tellNews(follow);
         },
       .message =
--- a/gateway/tests/unit_endless.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -7,6 +7,12 @@
 using namespace laburnum;
 using namespace laburnum::gateway;
 
+namespace bhttp = http::beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using Socket = ClientConnection::Socket;
+
 // A faulty server sends bytes that are no response, without end, until its peer
 // closes the connection.
 
@@ -109,3 +115,112 @@
   CHECK(selector.silentServers(start + milliseconds(900)) ==
         std::vector<std::string>{ "dripping" });
 }
+
+namespace {
+
+/// A backend server that sends each response twice, the second time after a
+/// delay. The body is the attempt ID.
+class RepeatingServer
+{
+public:
+  RepeatingServer(Loop& aLoop, Duration aDelay)
+    : mLoop(aLoop)
+    , mDelay(aDelay)
+    , mAcceptor(aLoop.context(),
+                tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+  {
+    mLoop.spawn(accept());
+  }
+
+  contract::Address address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+
+  int requests = 0;
+
+private:
+  asio::awaitable<void> accept()
+  {
+    for (;;) {
+      Socket socket = co_await mAcceptor.async_accept(use_awaitable);
+      mLoop.spawn(serve(std::make_shared<Socket>(std::move(socket))));
+    }
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<Socket> aSocket)
+  {
+    http::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    while (!error) {
+      http::Request request;
+      co_await bhttp::async_read(
+        *aSocket, buffer, request, redirect_error(use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+      ++requests;
+      const std::string id(request["Laburnum-Attempt"]);
+      std::string text = response(200, kSignatureField, id);
+      text.replace(text.find("$ID"), 3, id);
+      if (mDelay == Duration(0)) {
+        text += text;
+      } else {
+        mLoop.spawn(repeat(aSocket, text));
+      }
+      co_await asio::async_write(
+        *aSocket, asio::buffer(text), redirect_error(use_awaitable, error));
+    }
+  }
+
+  asio::awaitable<void> repeat(std::shared_ptr<Socket> aSocket,
+                               std::string aText)
+  {
+    co_await mLoop.sleep(mDelay);
+    boost::system::error_code error;
+    co_await asio::async_write(
+      *aSocket, asio::buffer(aText), redirect_error(use_awaitable, error));
+  }
+
+  Loop& mLoop;
+  Duration mDelay;
+  asio::basic_socket_acceptor<tcp, http::Executor> mAcceptor;
+};
+
+} // namespace
+
+TEST_CASE("gateway_serverRepeatsResponse_eachCallerGetsItsOwn")
+{
+  // A server sends a second copy of a response, at once, when the connection is
+  // chosen again, or while it is idle.
+  const int delayMs = GENERATE(0, 1, 3, 300);
+  const int pauseMs = GENERATE(0, 2, 310);
+  const std::string path = GENERATE("/safe/", "/once/");
+  CAPTURE(delayMs, pauseMs, path);
+  GatewayFixture fixture({ { "" } });
+  RepeatingServer server(fixture.loop, milliseconds(delayMs));
+  auto records = fixture.records();
+  records[0].address = server.address();
+  fixture.gateway.replaceServers(records);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "attempt-" + std::to_string(i);
+    const std::string received = fixture.exchange(
+      "GET " + path +
+      " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nLaburnum-Attempt: " + id +
+      "\r\n\r\n");
+    if (statusOf(received) == 200) {
+      CHECK(received.ends_with("\r\n\r\n" + id));
+    } else {
+      // A copy that took the place of the response leaves its outcome open.
+      CHECK(statusOf(received) == 502);
+      CHECK(path == "/safe/");
+    }
+    fixture.loop.spawn([](Loop& aLoop, int aPause) -> asio::awaitable<void> {
+      co_await aLoop.sleep(milliseconds(aPause));
+      aLoop.stop();
+    }(fixture.loop, pauseMs));
+    fixture.loop.run();
+    fixture.loop.context().restart();
+  }
+  CHECK(server.requests >= 6);
+}
--- a/kernel/include/laburnum/kernel/loop.hpp
+++ b/kernel/include/laburnum/kernel/loop.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace laburnum {
 
@@ -25,7 +26,8 @@
   /// The monotonic clock. Pre: none.
   Instant now() const;
 
-  /// Runs until `stop` or until no work is left. Pre: not running.
+  /// Runs until `stop` or until no work is left. An exception that leaves a
+  /// handler is logged and ends that handler only. Pre: not running.
   void run();
 
   /// Ends `run` after the present handler. Pre: none.
@@ -35,6 +37,14 @@
   /// Pre: none.
   void spawn(asio::awaitable<void> aTask);
 
+  /// Starts a coroutine that the process needs for as long as it runs; one that
+  /// ends by an exception is started anew after `kRestartDelay`. aName is
+  /// logged. Pre: none.
+  void keepRunning(std::string aName,
+                   std::function<asio::awaitable<void>()> aTask);
+
+  static constexpr Duration kRestartDelay = milliseconds(100);
+
   /// Suspends the calling coroutine. Pre: none.
   asio::awaitable<void> sleep(Duration aDuration);
 
--- a/kernel/src/loop.cpp
+++ b/kernel/src/loop.cpp
@@ -24,7 +24,38 @@
 Loop::run()
 {
   const auto guard = asio::make_work_guard(mContext);
-  mContext.run();
+  while (!mContext.stopped()) {
+    try {
+      mContext.run();
+    } catch (const std::exception& error) {
+      log(LogLevel::Error,
+          "handler_ended_by_exception",
+          { { "what", error.what() } });
+    }
+  }
+}
+
+void
+Loop::keepRunning(std::string aName,
+                  std::function<asio::awaitable<void>()> aTask)
+{
+  const auto supervise =
+    [](Loop* aLoop,
+       std::string aTaskName,
+       std::function<asio::awaitable<void>()> aWork) -> asio::awaitable<void> {
+    for (;;) {
+      try {
+        co_await aWork();
+        co_return;
+      } catch (const std::exception& error) {
+        log(LogLevel::Error,
+            "task_restarted",
+            { { "task", aTaskName }, { "what", error.what() } });
+      }
+      co_await aLoop->sleep(kRestartDelay);
+    }
+  };
+  spawn(supervise(this, std::move(aName), std::move(aTask)));
 }
 
 void
--- a/kernel/tests/unit_kernel.cpp
+++ b/kernel/tests/unit_kernel.cpp
@@ -1,11 +1,15 @@
 #include "laburnum/kernel/bounded_writer.hpp"
 #include "laburnum/kernel/error.hpp"
 #include "laburnum/kernel/hash.hpp"
+#include "laburnum/kernel/loop.hpp"
 #include "laburnum/kernel/metrics.hpp"
 #include "laburnum/kernel/registry.hpp"
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
+#include <new>
 #include <set>
+#include <stdexcept>
 #include <unistd.h>
 
 using namespace laburnum;
@@ -100,3 +104,32 @@
   ::close(ends[0]);
   ::close(ends[1]);
 }
+
+TEST_CASE("Loop, a handler that throws, does not end the others")
+{
+  Loop loop;
+  int calls = 0;
+  asio::post(loop.context(), [] { throw std::bad_alloc(); });
+  asio::post(loop.context(), [&calls] { ++calls; });
+  asio::post(loop.context(), [&loop, &calls] {
+    ++calls;
+    loop.stop();
+  });
+  loop.run();
+  CHECK(calls == 2);
+}
+
+TEST_CASE("Loop, a needed task that throws, is started anew")
+{
+  Loop loop;
+  int starts = 0;
+  loop.keepRunning("test", [&]() -> asio::awaitable<void> {
+    if (++starts < 3) {
+      throw std::runtime_error("malformed message");
+    }
+    loop.stop();
+    return loop.sleep(milliseconds(0));
+  });
+  loop.run();
+  CHECK(starts == 3);
+}
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -71,9 +71,9 @@
       "started",
       { { "control", mSettings.control.text() },
         { "engine", mSettings.server.address.text() } });
-  mLoop.spawn(pollEngine());
-  mLoop.spawn(controlMap());
-  mLoop.spawn(publishStatus());
+  mLoop.keepRunning("engine", [this] { return pollEngine(); });
+  mLoop.keepRunning("map", [this] { return controlMap(); });
+  mLoop.keepRunning("status", [this] { return publishStatus(); });
 }
 
 void
