--- a/gateway/include/laburnum/gateway/surge_detector.hpp
+++ b/gateway/include/laburnum/gateway/surge_detector.hpp
@@ -10,7 +10,8 @@
 /// Parameters of a `SurgeDetector`.
 struct SurgeDetectorOptions
 {
-  Duration recentTime = milliseconds(1200); ///< Time constant of the recent requests.
+  Duration recentTime =
+    milliseconds(1200);             ///< Time constant of the recent requests.
   Duration usualTime = seconds(30); ///< Time constant of the usual requests.
   /// An account surges if its share of the recent requests is this many times
   /// its usual share.
