Spread the waits of watches, so that some gateway asks the store anew a few times a second

The store dropped its history as a configuration came (platform_compact), so that no waiting watch returned it; all four gateways had watches of 12 s, and they can only tell one another what one of them has seen.

Ruled out: lost news between gateways: all three learnt of it at 13.3 s, when their own watches ended.

Change: a wait is 0.3 s for each gateway, 2 s at least and 12 s at most, and spread over its second half.

--- a/gateway/include/laburnum/gateway/store_freshness.hpp
+++ b/gateway/include/laburnum/gateway/store_freshness.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "laburnum/kernel/random.hpp"
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
@@ -25,6 +26,11 @@
   Duration shortWait = milliseconds(2000);
   /// Longest wait while others tell what is new.
   Duration longWait = seconds(12);
+  /// The wait grows with the number of gateways by this much, so that the watch
+  /// of some gateway ends a few times a second: a store that drops its history
+  /// tells only those that ask anew.
+  Duration waitPerGateway = milliseconds(300);
+  std::uint64_t seed = 1; ///< Of the spread of the waits.
   /// Others tell at least every 200 ms.
   Duration maxNewsAge = milliseconds(900);
   /// Time that the own watch has to return a change that another gateway has
@@ -45,14 +51,15 @@
 public:
   explicit StoreFreshness(StoreFreshnessOptions aOptions = {})
     : mOptions(aOptions)
+    , mRandom(aOptions.seed)
   {
   }
 
   /// Records contents that this gateway has read itself.
   void recordConfiguration(std::uint64_t aVersion);
   void recordServers(std::uint64_t aRevision);
-  /// Records what other gateways have seen.
-  void recordTold(const StoreNews& aNews, Instant aNow);
+  /// Records what other gateways have seen, and how many gateways there are.
+  void recordTold(const StoreNews& aNews, int aGateways, Instant aNow);
 
   const StoreNews& own() const { return mOwn; }
 
@@ -71,6 +78,8 @@
   StoreFreshnessOptions mOptions;
   StoreNews mOwn;
   StoreNews mTold;
+  int mGateways = 1;
+  Random mRandom;
   std::optional<Instant> mToldAt;
   std::optional<Instant> mBehindSince;
   bool mWaitsLong = false;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -62,6 +62,7 @@
              selectorOptions(aSettings),
              retryBudgetOptions(aSettings))
   , mAcceptor(aLoop.context())
+  , mFreshness({ .seed = entropySeed() })
   , mFollower(mSettings,
               mContext,
               mFreshness,
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -151,6 +151,7 @@
   Follow& follow = mFollows[aService];
   follow.heardAt = now;
   mFreshness.recordTold({ aStatus.config_version, aStatus.servers_revision },
+                        static_cast<int>(aStatus.gateways),
                         now);
   if (!aStatus.servers.empty()) {
     follow.servers.clear();
--- a/gateway/src/store_freshness.cpp
+++ b/gateway/src/store_freshness.cpp
@@ -17,8 +17,9 @@
 }
 
 void
-StoreFreshness::recordTold(const StoreNews& aNews, Instant aNow)
+StoreFreshness::recordTold(const StoreNews& aNews, int aGateways, Instant aNow)
 {
+  mGateways = aGateways;
   mTold.configurationVersion =
     std::max(mTold.configurationVersion, aNews.configurationVersion);
   mTold.serversRevision =
@@ -42,8 +43,16 @@
 Duration
 StoreFreshness::watchWait(Instant aNow)
 {
-  mWaitsLong = mWaitsLong || isTold(aNow);
-  return isTold(aNow) ? mOptions.longWait : mOptions.shortWait;
+  if (!isTold(aNow)) {
+    return mOptions.shortWait;
+  }
+  const Duration longest =
+    std::min<Duration>(mOptions.longWait, mOptions.waitPerGateway * mGateways);
+  // Gateways start together; their watches must not end together.
+  const Duration spread =
+    fromSeconds(toSeconds(longest) * (0.5 + mRandom.unit() / 2));
+  mWaitsLong = mWaitsLong || spread > mOptions.shortWait;
+  return std::max(mOptions.shortWait, spread);
 }
 
 bool
