--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include "laburnum/gateway/connection_pool.hpp"
 #include "laburnum/gateway/crash_detector.hpp"
 #include "laburnum/gateway/drain_policy.hpp"
+#include "laburnum/gateway/fingerprint.hpp"
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/protocol.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
@@ -52,10 +53,16 @@
   {
     const auto suspects = crashDetector.takeSuspects(aServerId, aNow);
     if (!suspects.empty()) {
+      quarantine.recordCrash(suspects, aNow);
+      boost::json::array names;
+      for (const std::uint64_t fingerprint : suspects) {
+        names.emplace_back(fingerprintText(fingerprint));
+      }
       log(LogLevel::Warn,
           "server_crashed",
-          { { "server", aServerId }, { "in_progress", suspects.size() } });
-      quarantine.recordCrash(suspects, aNow);
+          { { "server", aServerId },
+            { "in_progress", suspects.size() },
+            { "suspects", std::move(names) } });
     }
   }
 
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -325,6 +325,7 @@
           { "reason", aReason },
           { "sendings", mRetryController->attemptCount() },
           { "events", mEventSequence.deliveredCount() },
+          { "fingerprint", fingerprintText(mFingerprint) },
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
     mContext.quarantine.clearSuspect(mFingerprint);
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -140,6 +140,10 @@
                      mix(hash64(mRequest.target()), hash64(mRequest.body())));
   if (mContext.quarantine.suspicion(mFingerprint, mStartedAt) ==
       policy::Suspicion::Refused) {
+    log(LogLevel::Info,
+        "request_quarantined",
+        { { "request", mRequestId },
+          { "fingerprint", fingerprintText(mFingerprint) } });
     refuse(503, { .error = Error::Quarantined, .retryAfter = seconds(5) });
     return false;
   }
