Exchange crash evidence between gateways, so that a fleet refuses a request after two crashes

Callers saw: streams of the whole group cut and refused for minutes, as one request took down server after server (8 of them with four gateways).

Cause: each gateway kept its own quarantine and had to see two crashes itself, so a fleet of N gateways allowed 2 N (class: state that has to be shared was kept by each process alone). Where daemons did exchange suspicions (entry, agent), they merged the larger count, so two daemons with one crash each stayed at one. Evidence: with fingerprints in the log, two server_crashed lines of the same fingerprint at each gateway before it refuses.

Now a record has the crashes themselves, named by server and process start, and records are joined: which daemon saw which crash makes no difference. A request that ends without a crash is cleared everywhere.

--- a/agent/include/laburnum/agent/agent.hpp
+++ b/agent/include/laburnum/agent/agent.hpp
@@ -95,6 +95,7 @@
   std::map<std::uint64_t, LinkPtr> mEntries; ///< Latest link by incarnation.
   std::uint64_t mBeats = 0;
   Instant mCrashedAt{};
+  std::uint64_t mCrashCount = 0; ///< Of the backend server.
   bool mDrainTold = false;
 };
 
--- a/agent/src/agent.cpp
+++ b/agent/src/agent.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/agent/agent.hpp"
 
-#include "laburnum/node/suspicion.hpp"
+#include "laburnum/kernel/hash.hpp"
+#include "laburnum/wire/suspicion.hpp"
 
 #include <boost/json/object.hpp>
 
@@ -150,9 +151,9 @@
 void
 Agent::merge(const wire::SuspectsT& aNews)
 {
-  const auto news = node::mergeNews(mQuarantine, aNews, mLoop.now());
+  const auto news = wire::mergeSuspicions(mQuarantine, aNews, mLoop.now());
   if (!news.empty()) {
-    mNode.sendToNeighbours(node::toWire(news));
+    mNode.sendToNeighbours(wire::encodeSuspicions(news));
   }
 }
 
@@ -408,11 +409,12 @@
     }
   }
   mCrashedAt = now;
-  const auto changed = mQuarantine.recordCrash(inProgress, now);
+  const auto changed = mQuarantine.recordCrash(
+    mix(mNode.identity().incarnation, ++mCrashCount), inProgress, now);
   log(LogLevel::Warn,
       "backend_server_crashed",
       { { "in_progress", inProgress.size() } });
-  const wire::SuspectsT news = node::toWire(changed);
+  const wire::SuspectsT news = wire::encodeSuspicions(changed);
   mNode.sendToNeighbours(news);
   for (const auto& [entry, link] : mEntries) {
     link->send(news);
--- a/bench/src/desk_world.cpp
+++ b/bench/src/desk_world.cpp
@@ -392,7 +392,10 @@
   if (mOptions.quarantine && !aForGood) {
     // The agent's news reaches the entries over their links.
     for (Entry& entry : mEntries) {
-      entry.quarantine.recordCrash(fingerprints, mQueue.now());
+      entry.quarantine.recordCrash(
+        static_cast<policy::CrashId>(mTotals.crashes),
+        fingerprints,
+        mQueue.now());
     }
   }
   for (const std::size_t job : lost) {
--- a/entry/src/entry.cpp
+++ b/entry/src/entry.cpp
@@ -1,7 +1,7 @@
 #include "laburnum/entry/entry.hpp"
 
 #include "laburnum/kernel/hash.hpp"
-#include "laburnum/node/suspicion.hpp"
+#include "laburnum/wire/suspicion.hpp"
 
 #include <boost/json/object.hpp>
 
@@ -134,9 +134,9 @@
 void
 Entry::merge(const wire::SuspectsT& aNews)
 {
-  const auto news = node::mergeNews(mQuarantine, aNews, mLoop.now());
+  const auto news = wire::mergeSuspicions(mQuarantine, aNews, mLoop.now());
   if (!news.empty()) {
-    mNode.sendToNeighbours(node::toWire(news));
+    mNode.sendToNeighbours(wire::encodeSuspicions(news));
   }
 }
 
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -16,6 +16,7 @@
 #include "laburnum/kernel/random.hpp"
 #include "laburnum/policy/quarantine.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,9 +52,8 @@
   /// progress when it was lost become suspected of crashing servers.
   void reportServerGone(const std::string& aServerId, Instant aNow)
   {
-    const auto suspects = crashDetector.takeSuspects(aServerId, aNow);
-    if (!suspects.empty()) {
-      quarantine.recordCrash(suspects, aNow);
+    for (const auto& [crash, suspects] :
+         crashDetector.takeSuspects(aServerId, aNow)) {
       boost::json::array names;
       for (const std::uint64_t fingerprint : suspects) {
         names.emplace_back(fingerprintText(fingerprint));
@@ -63,6 +63,16 @@
           { { "server", aServerId },
             { "in_progress", suspects.size() },
             { "suspects", std::move(names) } });
+      shareSuspicions(quarantine.recordCrash(crash, suspects, aNow));
+    }
+  }
+
+  /// Called when a request ended without a crash.
+  void reportServed(std::uint64_t aFingerprint)
+  {
+    if (quarantine.clearSuspect(aFingerprint)) {
+      shareSuspicions(
+        { { .fingerprint = aFingerprint, .remaining = kQuarantineTime } });
     }
   }
 
@@ -79,7 +89,12 @@
   std::map<std::string, int> activeStreams;         ///< By service.
   SurgeDetector surgeDetector;
   CrashDetector crashDetector;
-  policy::Quarantine quarantine{ seconds(60) };
+  /// How long a request that crashes servers is refused.
+  static constexpr Duration kQuarantineTime = seconds(60);
+  policy::Quarantine quarantine{ kQuarantineTime };
+  /// Sends changes of the quarantine to the other gateways.
+  std::function<void(const std::vector<policy::SuspicionRecord>&)>
+    shareSuspicions = [](const auto&) {};
   Metrics metrics;
   Random random;
   std::optional<DrainPolicy> drainPolicy; ///< Set while shutting down.
--- a/gateway/include/laburnum/gateway/crash_detector.hpp
+++ b/gateway/include/laburnum/gateway/crash_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/kernel/time.hpp"
+#include "laburnum/policy/quarantine.hpp"
 
 #include <cstdint>
 #include <map>
@@ -20,8 +21,10 @@
 {
 public:
   /// Records that the connection was lost before the response to a request
-  /// began. `aFingerprint` identifies the content of the request.
+  /// began. `aCrash` identifies the process of the server that the request was
+  /// sent to, `aFingerprint` the content of the request.
   void recordLoss(const std::string& aServerId,
+                  policy::CrashId aCrash,
                   std::uint64_t aFingerprint,
                   Instant aNow);
 
@@ -30,14 +33,16 @@
   void recordResponse(const std::string& aServerId, Instant aSentAt);
 
   /// Called when the server is unreachable or was removed. Returns the
-  /// fingerprints of the requests lost within the last 5 s and discards them,
-  /// so that each is reported once.
-  std::vector<std::uint64_t> takeSuspects(const std::string& aServerId,
-                                          Instant aNow);
+  /// fingerprints of the requests lost within the last 5 s, by process, and
+  /// discards them, so that each is reported once.
+  std::map<policy::CrashId, std::vector<std::uint64_t>> takeSuspects(
+    const std::string& aServerId,
+    Instant aNow);
 
 private:
   struct Loss
   {
+    policy::CrashId crash = 0;
     std::uint64_t fingerprint = 0;
     Instant at{};
   };
--- a/gateway/include/laburnum/gateway/group_follower.hpp
+++ b/gateway/include/laburnum/gateway/group_follower.hpp
@@ -14,7 +14,8 @@
 /// Keeps a link to one steward of each group and passes on what it tells of the
 /// group. The steward is one of the own failure domain if there is any, so that
 /// each failure domain receives the state of a group once. Another one is tried
-/// if a steward tells nothing.
+/// if a steward tells nothing. Through the stewards, gateways also exchange
+/// which requests crash servers.
 ///
 /// Thread safety: loop thread only.
 class GroupFollower
@@ -36,6 +37,10 @@
   /// a few times a second.
   void maintain();
 
+  /// Sends changes of the quarantine to the stewards, which pass them on to all
+  /// gateways.
+  void shareSuspicions(const std::vector<policy::SuspicionRecord>& aChanges);
+
 private:
   using LinkPtr = std::shared_ptr<wire::Link>;
   /// The link to a steward of one service's group.
@@ -55,6 +60,7 @@
   void processStatus(const std::string& aService,
                      const wire::GroupStatusT& aStatus);
   void tellNews(Follow& aFollow);
+  void processSuspicions(const LinkPtr& aFrom, const wire::SuspectsT& aMessage);
 
   const contract::Settings& mSettings;
   Context& mContext;
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -88,6 +88,7 @@
   asio::steady_timer mAttemptTimer;
   std::set<std::string> mTriedServers;
   std::string mServerId;
+  policy::CrashId mServerProcess = 0; ///< Process of `mServerId`.
   std::shared_ptr<ServerConnection> mConnection;
   Instant mSentAt{};
   http::Response mResponse;
--- a/gateway/src/crash_detector.cpp
+++ b/gateway/src/crash_detector.cpp
@@ -15,6 +15,7 @@
 
 void
 CrashDetector::recordLoss(const std::string& aServerId,
+                          policy::CrashId aCrash,
                           std::uint64_t aFingerprint,
                           Instant aNow)
 {
@@ -23,7 +24,8 @@
     return aNow - aLoss.at > kLossRetention;
   });
   if (losses.size() < kMaxLossesPerServer) {
-    losses.push_back({ .fingerprint = aFingerprint, .at = aNow });
+    losses.push_back(
+      { .crash = aCrash, .fingerprint = aFingerprint, .at = aNow });
   }
 }
 
@@ -41,17 +43,17 @@
   }
 }
 
-std::vector<std::uint64_t>
+std::map<policy::CrashId, std::vector<std::uint64_t>>
 CrashDetector::takeSuspects(const std::string& aServerId, Instant aNow)
 {
-  std::vector<std::uint64_t> suspects;
+  std::map<policy::CrashId, std::vector<std::uint64_t>> suspects;
   const auto found = mLosses.find(aServerId);
   if (found == mLosses.end()) {
     return suspects;
   }
   for (const Loss& loss : found->second) {
     if (aNow - loss.at <= kLossRetention) {
-      suspects.push_back(loss.fingerprint);
+      suspects[loss.crash].push_back(loss.fingerprint);
     }
   }
   mLosses.erase(found);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -75,6 +75,9 @@
 void
 Gateway::start()
 {
+  mContext.shareSuspicions = [this](const auto& aChanges) {
+    mFollower.shareSuspicions(aChanges);
+  };
   const tcp::endpoint endpoint = toEndpoint(mSettings.callers);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/gateway/group_follower.hpp"
 
+#include "laburnum/wire/suspicion.hpp"
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
@@ -125,11 +127,19 @@
             "group_followed",
             { { "service", aService }, { "steward", aLink->peer().instance } });
           tellNews(follow);
+          const auto suspicions =
+            mContext.quarantine.records(mContext.loop.now());
+          if (!suspicions.empty()) {
+            aLink->send(wire::encodeSuspicions(suspicions));
+          }
         },
       .message =
-        [this, aService](const LinkPtr&, wire::AnyMessage&& aMessage) {
+        [this, aService](const LinkPtr& aLink, wire::AnyMessage&& aMessage) {
           if (const auto* status = std::get_if<wire::GroupStatusT>(&aMessage)) {
             processStatus(aService, *status);
+          } else if (const auto* suspects =
+                       std::get_if<wire::SuspectsT>(&aMessage)) {
+            processSuspicions(aLink, *suspects);
           }
         },
       .closed =
@@ -184,6 +194,35 @@
   mHandler(aService, status);
 }
 
+void
+GroupFollower::processSuspicions(const LinkPtr& aFrom,
+                                 const wire::SuspectsT& aMessage)
+{
+  const auto changes =
+    wire::mergeSuspicions(mContext.quarantine, aMessage, mContext.loop.now());
+  if (changes.empty()) {
+    return;
+  }
+  const auto message = wire::encodeSuspicions(changes);
+  for (const auto& [service, follow] : mFollows) {
+    if (follow.link && follow.link != aFrom) {
+      follow.link->send(message);
+    }
+  }
+}
+
+void
+GroupFollower::shareSuspicions(
+  const std::vector<policy::SuspicionRecord>& aChanges)
+{
+  const auto message = wire::encodeSuspicions(aChanges);
+  for (const auto& [service, follow] : mFollows) {
+    if (follow.link) {
+      follow.link->send(message);
+    }
+  }
+}
+
 void
 GroupFollower::tellNews(Follow& aFollow)
 {
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "end_to_end.hpp"
 
+#include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include <algorithm>
@@ -126,6 +127,8 @@
     return;
   }
   mServerId = aServer.id;
+  mServerProcess =
+    mix(hash64(aServer.id), static_cast<std::uint64_t>(aServer.startedMs));
   mConnection = connection;
   mTriedServers.insert(aServer.id);
   mRetryController->attemptStarted();
@@ -278,7 +281,8 @@
   if (!aEvent.isRequestSent) {
     mContext.reportServerGone(mServerId, now);
   } else if (!mHasForwardedEvents) {
-    mContext.crashDetector.recordLoss(mServerId, mFingerprint, now);
+    mContext.crashDetector.recordLoss(
+      mServerId, mServerProcess, mFingerprint, now);
   }
   finishAttempt(aEvent.isRequestSent ? AttemptOutcome::Lost
                                      : AttemptOutcome::NotSent,
@@ -328,7 +332,7 @@
           { "fingerprint", fingerprintText(mFingerprint) },
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
-    mContext.quarantine.clearSuspect(mFingerprint);
+    mContext.reportServed(mFingerprint);
   }
   execute(mRetryController->attemptEnded(aOutcome, remainingTime(), [this] {
     const bool isAllowed =
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -18,18 +18,27 @@
   Refused  ///< Identified by a second crash; refused everywhere for a time.
 };
 
+/// Identifies the crash of one server process. Daemons that observe the same
+/// crash use the same number.
+using CrashId = std::uint64_t;
+
 /// A suspicion as exchanged between daemons.
 struct SuspicionRecord
 {
   std::uint64_t fingerprint = 0; ///< Hash that identifies equal requests.
-  std::uint8_t crashes = 0;      ///< 1 for a suspect, 2 or more if refused.
+  /// 0 if the request ended without a crash, 1 for a suspect, 2 or more if
+  /// refused.
+  std::uint8_t crashes = 0;
   Duration remaining{ 0 };       ///< Time until the suspicion expires.
+  std::vector<CrashId> crashIds; ///< Crashes at which it was in progress.
 };
 
 /// Identifies requests that crash backend servers, so that retries of one do
 /// not take down one server after another. All requests in progress at a crash
-/// become suspects. If exactly one of the requests in progress at a crash was
-/// already a suspect, it is taken to be the cause and refused.
+/// become suspects. A request that was in progress at two crashes is taken to
+/// be the cause and refused, unless another one was in progress at both. Which
+/// daemon observed which crash makes no difference once they have exchanged
+/// their records.
 /// Not thread-safe; timestamps must not decrease between calls.
 class Quarantine
 {
@@ -51,14 +60,17 @@
   /// @param aInProgress Fingerprints of the requests it was running.
   /// @return The suspicions that were added or renewed.
   std::vector<SuspicionRecord> recordCrash(
+    CrashId aCrash,
     std::span<const std::uint64_t> aInProgress,
     Instant aNow);
 
   /// Clears a suspect whose request ended without a crash. A refused request
   /// stays refused.
-  void clearSuspect(std::uint64_t aFingerprint);
+  /// @return True if the request was a suspect.
+  bool clearSuspect(std::uint64_t aFingerprint);
 
-  /// Merges a record from another daemon, keeping the stronger suspicion.
+  /// Merges a record from another daemon: joins the crashes and keeps the
+  /// stronger suspicion.
   /// @return True if the record changed the local state.
   bool merge(const SuspicionRecord& aRecord, Instant aNow);
 
@@ -76,8 +88,16 @@
   struct Entry
   {
     std::uint8_t crashes = 0;
+    std::vector<CrashId> crashIds;
     Instant until;
   };
+  /// Returns the entry of a request for an update, or null at the capacity.
+  Entry* entryFor(std::uint64_t aFingerprint, Instant aNow);
+  /// True if the crashes of an entry name it as their cause.
+  bool isCause(std::uint64_t aFingerprint, const Entry& aEntry) const;
+  static SuspicionRecord record(std::uint64_t aFingerprint,
+                                const Entry& aEntry,
+                                Instant aNow);
 
   Duration mRefusalDuration;
   std::size_t mCapacity;
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -7,6 +7,32 @@
 
 /// One crash is not enough, since other requests were in progress at it.
 constexpr std::uint8_t kCrashesToRefuse = 2;
+/// At so many crashes it does not matter whether another request was in
+/// progress at all of them.
+constexpr std::size_t kCrashesToRefuseAnyway = 3;
+
+/// Adds a crash to a list. Returns whether it was not there yet and is needed.
+bool
+addCrash(std::vector<CrashId>& aCrashIds, CrashId aCrash)
+{
+  if (aCrashIds.size() >= kCrashesToRefuseAnyway ||
+      std::find(aCrashIds.begin(), aCrashIds.end(), aCrash) !=
+        aCrashIds.end()) {
+    return false;
+  }
+  aCrashIds.push_back(aCrash);
+  return true;
+}
+
+std::size_t
+countCommon(const std::vector<CrashId>& aLeft,
+            const std::vector<CrashId>& aRight)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aLeft.begin(), aLeft.end(), [&aRight](CrashId aCrash) {
+      return std::find(aRight.begin(), aRight.end(), aCrash) != aRight.end();
+    }));
+}
 
 } // namespace
 
@@ -21,46 +47,82 @@
                                                    : Suspicion::Suspect;
 }
 
+Quarantine::Entry*
+Quarantine::entryFor(std::uint64_t aFingerprint, Instant aNow)
+{
+  const auto found = mEntries.find(aFingerprint);
+  if (found == mEntries.end()) {
+    return mEntries.size() >= mCapacity ? nullptr : &mEntries[aFingerprint];
+  }
+  if (found->second.until <= aNow) {
+    found->second = {};
+  }
+  return &found->second;
+}
+
+bool
+Quarantine::isCause(std::uint64_t aFingerprint, const Entry& aEntry) const
+{
+  if (aEntry.crashIds.size() < kCrashesToRefuse) {
+    return false;
+  }
+  return aEntry.crashIds.size() >= kCrashesToRefuseAnyway ||
+         std::none_of(
+           mEntries.begin(), mEntries.end(), [&](const auto& aOther) {
+             return aOther.first != aFingerprint &&
+                    countCommon(aOther.second.crashIds, aEntry.crashIds) >=
+                      kCrashesToRefuse;
+           });
+}
+
+SuspicionRecord
+Quarantine::record(std::uint64_t aFingerprint,
+                   const Entry& aEntry,
+                   Instant aNow)
+{
+  return { .fingerprint = aFingerprint,
+           .crashes = aEntry.crashes,
+           .remaining = aEntry.until - aNow,
+           .crashIds = aEntry.crashIds };
+}
+
 std::vector<SuspicionRecord>
-Quarantine::recordCrash(std::span<const std::uint64_t> aInProgress,
+Quarantine::recordCrash(CrashId aCrash,
+                        std::span<const std::uint64_t> aInProgress,
                         Instant aNow)
 {
-  std::vector<std::uint64_t> repeated;
+  std::vector<std::uint64_t> suspects;
   for (const std::uint64_t fingerprint : aInProgress) {
-    if (suspicion(fingerprint, aNow) != Suspicion::None) {
-      repeated.push_back(fingerprint);
+    if (Entry* entry = entryFor(fingerprint, aNow)) {
+      addCrash(entry->crashIds, aCrash);
+      entry->crashes = std::max<std::uint8_t>(entry->crashes, 1);
+      entry->until = aNow + mRefusalDuration;
+      suspects.push_back(fingerprint);
     }
   }
-  std::sort(repeated.begin(), repeated.end());
-  repeated.erase(std::unique(repeated.begin(), repeated.end()), repeated.end());
-  // A request is identified as the cause if it is the only one that was also
-  // in progress at an earlier crash.
+  std::sort(suspects.begin(), suspects.end());
+  suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
+  // Only after all of them were added is it known who shares two crashes.
   std::vector<SuspicionRecord> changed;
-  for (const std::uint64_t fingerprint : aInProgress) {
-    const bool identified =
-      repeated.size() == 1 && repeated.front() == fingerprint;
-    if (!identified && mEntries.size() >= mCapacity &&
-        !mEntries.contains(fingerprint)) {
-      continue;
-    }
+  for (const std::uint64_t fingerprint : suspects) {
     Entry& entry = mEntries[fingerprint];
-    entry.crashes =
-      identified ? kCrashesToRefuse : std::max<std::uint8_t>(entry.crashes, 1);
-    entry.until = aNow + mRefusalDuration;
-    changed.push_back({ .fingerprint = fingerprint,
-                        .crashes = entry.crashes,
-                        .remaining = mRefusalDuration });
+    if (isCause(fingerprint, entry)) {
+      entry.crashes = std::max(entry.crashes, kCrashesToRefuse);
+    }
+    changed.push_back(record(fingerprint, entry, aNow));
   }
   return changed;
 }
 
-void
+bool
 Quarantine::clearSuspect(std::uint64_t aFingerprint)
 {
   const auto found = mEntries.find(aFingerprint);
-  if (found != mEntries.end() && found->second.crashes < kCrashesToRefuse) {
-    mEntries.erase(found);
+  if (found == mEntries.end() || found->second.crashes >= kCrashesToRefuse) {
+    return false;
   }
+  mEntries.erase(found);
+  return true;
 }
 
 bool
@@ -69,14 +131,27 @@
   if (aRecord.remaining <= Duration(0)) {
     return false;
   }
-  Entry& entry = mEntries[aRecord.fingerprint];
-  const bool isNew = entry.until <= aNow || aRecord.crashes > entry.crashes;
-  if (isNew) {
-    entry.crashes = std::max(entry.crashes, aRecord.crashes);
-    entry.until = std::max(
-      entry.until, aNow + std::min(aRecord.remaining, mRefusalDuration));
+  if (aRecord.crashes == 0) {
+    return clearSuspect(aRecord.fingerprint);
+  }
+  Entry* entry = entryFor(aRecord.fingerprint, aNow);
+  if (entry == nullptr) {
+    return false;
+  }
+  bool isNew = aRecord.crashes > entry->crashes;
+  for (const CrashId crash : aRecord.crashIds) {
+    isNew = addCrash(entry->crashIds, crash) || isNew;
+  }
+  if (!isNew) {
+    return false;
+  }
+  entry->crashes = std::max(entry->crashes, aRecord.crashes);
+  if (isCause(aRecord.fingerprint, *entry)) {
+    entry->crashes = std::max(entry->crashes, kCrashesToRefuse);
   }
-  return isNew;
+  entry->until = std::max(entry->until,
+                          aNow + std::min(aRecord.remaining, mRefusalDuration));
+  return true;
 }
 
 std::vector<SuspicionRecord>
@@ -86,9 +161,7 @@
     mEntries, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
   std::vector<SuspicionRecord> all;
   for (const auto& [fingerprint, entry] : mEntries) {
-    all.push_back({ .fingerprint = fingerprint,
-                    .crashes = entry.crashes,
-                    .remaining = entry.until - aNow });
+    all.push_back(record(fingerprint, entry, aNow));
   }
   return all;
 }
--- a/policy/tests/unit_sharing.cpp
+++ b/policy/tests/unit_sharing.cpp
@@ -252,13 +252,43 @@
   }
 }
 
+TEST_CASE("quarantine_eachDaemonSeesOneCrash_bothRefuseTheRequest")
+{
+  const Instant now{ seconds(1) };
+  const std::uint64_t crashing[]{ 7 };
+  Quarantine first(seconds(60));
+  Quarantine second(seconds(60));
+  const auto ofFirst = first.recordCrash(1, crashing, now);
+  const auto ofSecond = second.recordCrash(2, crashing, now);
+  REQUIRE(first.merge(ofSecond.front(), now));
+  REQUIRE(second.merge(ofFirst.front(), now));
+  CHECK(first.suspicion(7, now) == Suspicion::Refused);
+  CHECK(second.suspicion(7, now) == Suspicion::Refused);
+}
+
+TEST_CASE("quarantine_twoDaemonsSeeTheSameCrash_requestStaysASuspect")
+{
+  const Instant now{ seconds(1) };
+  const std::uint64_t sound[]{ 7 };
+  Quarantine first(seconds(60));
+  Quarantine second(seconds(60));
+  first.recordCrash(1, sound, now);
+  CHECK_FALSE(first.merge(second.recordCrash(1, sound, now).front(), now));
+  CHECK(first.suspicion(7, now) == Suspicion::Suspect);
+  SECTION("served elsewhere, it is no longer one")
+  {
+    CHECK(first.merge({ .fingerprint = 7, .remaining = seconds(60) }, now));
+    CHECK(first.suspicion(7, now) == Suspicion::None);
+  }
+}
+
 TEST_CASE("Quarantine, crashes among other requests, identify only the cause")
 {
   Quarantine quarantine(seconds(60));
   const Instant now{ seconds(1) };
   const std::uint64_t crashing = 1;
   const std::uint64_t firstCrash[]{ crashing, 2, 3 };
-  quarantine.recordCrash(firstCrash, now);
+  quarantine.recordCrash(1, firstCrash, now);
   CHECK(quarantine.suspicion(crashing, now) == Suspicion::Suspect);
   CHECK(quarantine.suspicion(2, now) == Suspicion::Suspect);
   quarantine.clearSuspect(2);
@@ -267,7 +297,7 @@
   SECTION("the only request in progress at both crashes is refused")
   {
     const std::uint64_t secondCrash[]{ crashing, 4 };
-    quarantine.recordCrash(secondCrash, now);
+    quarantine.recordCrash(2, secondCrash, now);
     CHECK(quarantine.suspicion(crashing, now) == Suspicion::Refused);
     CHECK(quarantine.suspicion(4, now) == Suspicion::Suspect);
     CHECK(quarantine.suspicion(crashing, now + seconds(60)) == Suspicion::None);
@@ -275,7 +305,7 @@
   SECTION("two requests in progress at both crashes stay suspects")
   {
     const std::uint64_t secondCrash[]{ crashing, 3 };
-    quarantine.recordCrash(secondCrash, now);
+    quarantine.recordCrash(2, secondCrash, now);
     CHECK(quarantine.suspicion(crashing, now) == Suspicion::Suspect);
     CHECK(quarantine.suspicion(3, now) == Suspicion::Suspect);
   }
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/policy/quarantine.hpp"
 #include "laburnum/steward/count_reporter.hpp"
 #include "laburnum/steward/engine.hpp"
 #include "laburnum/steward/group_summary.hpp"
@@ -138,6 +139,11 @@
   wire::RankOrderT buildChanges(const experts::PrepareOrder& aPrepare);
   void onReady(const LinkPtr& aLink);
   void processGatewayNews(const wire::GatewayNewsT& aNews);
+  /// Merges suspicions of requests that crash servers and passes on to the
+  /// keeper and to all gateways what is new.
+  void processSuspicions(const LinkPtr& aFrom, const wire::SuspectsT& aMessage);
+  /// Sends all suspicions to a peer that has just connected.
+  void sendSuspicions(const LinkPtr& aLink);
   asio::awaitable<void> publishStatus();
   wire::GroupStatusT buildStatus();
   /// Sends the status to the gateways that are linked to this steward.
@@ -181,8 +187,9 @@
   bool mHasNewGateway = false;     ///< It lacks the addresses.
   std::vector<wire::ServerAddress> mStatusServers; ///< As last received.
   std::uint64_t mStatusCount = 0;
-  StoreNews mNews;         ///< From the gateways linked to this steward.
-  StoreNews mReportedNews; ///< To the keeper.
+  StoreNews mNews;                ///< From the gateways linked to this steward.
+  StoreNews mReportedNews;        ///< To the keeper.
+  policy::Quarantine mQuarantine; ///< As the gateways report it.
   std::uint64_t mReportedLoad = 0;
   std::size_t mReportedGateways = 0;
   /// Links to other stewards, to which orders are passed on.
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -149,6 +149,7 @@
           mKeeperSelection.linkOpened();
           mHasReportedExperts = false;
           reportToKeeper();
+          sendSuspicions(aLink);
         },
       .message =
         [this](const LinkPtr& aLink, wire::AnyMessage&& aMessage) {
@@ -315,6 +316,8 @@
     }
   } else if (const auto* news = std::get_if<wire::GatewayNewsT>(&aMessage)) {
     processGatewayNews(*news);
+  } else if (const auto* suspects = std::get_if<wire::SuspectsT>(&aMessage)) {
+    processSuspicions(aLink, *suspects);
   } else if (const auto* relayed =
                std::get_if<wire::RelayedOrderT>(&aMessage)) {
     processRelayedOrder(aLink, *relayed);
@@ -382,7 +385,9 @@
   if (aLink) {
     mRankLinks[aReport.rank] = aLink;
     if (presence.gateways > 0) {
-      mRelaysToGateways.insert(aReport.rank);
+      if (mRelaysToGateways.insert(aReport.rank).second) {
+        sendSuspicions(aLink);
+      }
     } else {
       mRelaysToGateways.erase(aReport.rank);
     }
--- a/steward/src/steward_status.cpp
+++ b/steward/src/steward_status.cpp
@@ -32,6 +32,7 @@
     mGatewayLinks.insert(aLink);
     mHasNewGateway = true;
     reportToKeeper();
+    sendSuspicions(aLink);
   }
 }
 
--- a/steward/tests/unit_relay.cpp
+++ b/steward/tests/unit_relay.cpp
@@ -1,4 +1,5 @@
 #include "laburnum/steward/steward.hpp"
+#include "laburnum/wire/suspicion.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -71,6 +72,9 @@
                  wire::AnyMessage&& aMessage) {
             if (auto* report = std::get_if<wire::RankReportT>(&aMessage)) {
               lastReport = std::move(*report);
+            } else if (auto* suspects =
+                         std::get_if<wire::SuspectsT>(&aMessage)) {
+              keeperSuspects.push_back(std::move(*suspects));
             }
           },
         .closed = [](const std::shared_ptr<wire::Link>&, const Failure&) {} });
@@ -102,6 +106,9 @@
                  wire::AnyMessage&& aMessage) {
             if (auto* status = std::get_if<wire::GroupStatusT>(&aMessage)) {
               statuses.push_back(std::move(*status));
+            } else if (auto* suspects =
+                         std::get_if<wire::SuspectsT>(&aMessage)) {
+              peerSuspects.push_back(std::move(*suspects));
             }
           },
         .closed = [](const std::shared_ptr<wire::Link>&, const Failure&) {} });
@@ -135,7 +142,17 @@
     return frame;
   }
 
+  static wire::SuspectsT suspects(std::uint64_t aFingerprint)
+  {
+    return wire::encodeSuspicions({ { .fingerprint = aFingerprint,
+                                      .crashes = 1,
+                                      .remaining = seconds(60),
+                                      .crashIds = { 1 } } });
+  }
+
   Loop loop;
+  std::vector<wire::SuspectsT> keeperSuspects; ///< That the keeper received.
+  std::vector<wire::SuspectsT> peerSuspects;   ///< That the peer received.
   wire::Identity keeper;
   wire::Identity peer;
   std::optional<wire::LinkListener> listener;
@@ -209,3 +226,22 @@
   CHECK(fixture.statuses.empty());
   CHECK(fixture.engine.prepared.empty());
 }
+
+TEST_CASE("steward_suspicionFromGatewayAndKeeper_reachesTheOtherSideOnce")
+{
+  RelayFixture fixture;
+  fixture.connect(contract::Role::Gateway);
+  REQUIRE(fixture.runUntil(
+    [&] { return fixture.fromPeer && fixture.lastReport.gateways == 1; }));
+  fixture.fromPeer->send(RelayFixture::suspects(7));
+  fixture.fromPeer->send(RelayFixture::suspects(7));
+  fixture.toSteward->send(RelayFixture::suspects(8));
+  REQUIRE(fixture.runUntil([&] {
+    return !fixture.keeperSuspects.empty() && !fixture.peerSuspects.empty();
+  }));
+  CHECK(fixture.keeperSuspects.size() == 1);
+  CHECK(fixture.keeperSuspects[0].fingerprints ==
+        std::vector<std::uint64_t>{ 7 });
+  CHECK(fixture.peerSuspects[0].fingerprints ==
+        std::vector<std::uint64_t>{ 8 });
+}
