Check the quarantine before each attempt, and recognize a crash within a round trip

Callers saw: all three servers of a plain service down for three seconds, by one request within 0.2 s.

Cause: the quarantine was consulted when a request was admitted, not before it was sent again, and a crash was recognized by the server list seconds later. Ruled out: client retries (one attempt id).

A connection that the server closes before its answer begins is now followed by a connection attempt: refused means crashed. It takes a round trip, and the decision to retry waits for it; a deadline meanwhile reports that the request may have run. Connections that end with bytes that are no answer are no sign of a crash any more. Retry-After of a quarantined request is what is left of its quarantine.

--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -9,6 +9,7 @@
 #include "laburnum/gateway/protocol.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
 #include "laburnum/gateway/server_list.hpp"
+#include "laburnum/gateway/server_probe.hpp"
 #include "laburnum/gateway/server_selector.hpp"
 #include "laburnum/gateway/surge_detector.hpp"
 #include "laburnum/kernel/log.hpp"
@@ -37,6 +38,7 @@
     , names(aNames)
     , selector(std::move(aSelectorOptions))
     , pool(aLoop)
+    , probe(aLoop)
     , retryBudgetOptions(aRetryBudgetOptions)
     , random(entropySeed())
   {
@@ -83,6 +85,7 @@
   ServerList servers;
   ServerSelector selector;
   ConnectionPool pool;
+  ServerProbe probe;
   RetryBudgetOptions retryBudgetOptions;
   std::map<std::string, RetryBudget> retryBudgets;  ///< By service.
   std::map<std::string, GroupAdmission> admissions; ///< By service.
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -44,6 +44,7 @@
   bool setDeadline();
   bool chooseService();
   bool checkQuarantine();
+  bool isQuarantined() const;
   void parseDemand();
   bool checkGroupAdmission();
 
@@ -57,6 +58,11 @@
   bool forwardEvents(std::string_view aBytes);
   AttemptOutcome classifyResponse() const;
   void finishAttempt(AttemptOutcome aOutcome, std::string_view aReason);
+  /// Decides what follows the loss of a connection on which the response had
+  /// not begun, as soon as it is known whether the server has crashed.
+  void finishLostAttempt(std::string_view aReason);
+  void recordAttemptEnd(AttemptOutcome aOutcome, std::string_view aReason);
+  void decideNext(AttemptOutcome aOutcome);
   void apply(const ForwardResponse& aDecision);
   void apply(const RetryRequest& aDecision);
   void apply(const RejectNotExecuted& aDecision);
@@ -89,6 +95,8 @@
   std::set<std::string> mTriedServers;
   std::string mServerId;
   policy::CrashId mServerProcess = 0; ///< Process of `mServerId`.
+  contract::Address mServerAddress;
+  bool mIsProbing = false; ///< Whether the server of a lost attempt crashed.
   std::shared_ptr<ServerConnection> mConnection;
   Instant mSentAt{};
   http::Response mResponse;
--- a/gateway/include/laburnum/gateway/retry_controller.hpp
+++ b/gateway/include/laburnum/gateway/retry_controller.hpp
@@ -112,9 +112,10 @@
   /// is in progress.
   RetryDecision timedOut(bool aInProgress) const;
 
-  /// Returns what to do if no server can accept the request.
+  /// Returns what to do if the request is not sent to any server (any more) for
+  /// the given reason.
   /// @pre No attempt is in progress.
-  RetryDecision noServerAvailable() const;
+  RetryDecision refused(Error aReason) const;
 
   /// True if the attempt in progress may be cancelled and sent to another
   /// server.
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -20,9 +20,6 @@
 /// latency objective, and is then retried on another server.
 constexpr double kAttemptTimeoutFactor = 2.5;
 
-/// A stream with less time left would end before another server has processed
-/// its prompt again, which takes a few passes for a typical prompt.
-constexpr Duration kMinTimeToMigrate = milliseconds(1000);
 /// Limit of a response that is buffered until it is complete; a larger one is
 /// treated as invalid. A faulty server may send without end.
 constexpr std::size_t kMaxBufferedBytes = 8UL * 1024 * 1024;
@@ -74,6 +71,10 @@
 RequestForwarder::dispatch()
 {
   const Instant now = mContext.loop.now();
+  if (isQuarantined()) {
+    execute(mRetryController->refused(Error::Quarantined));
+    return;
+  }
   const auto servers = mContext.servers.availableServers(mService->name);
   const ServerRecord* server =
     mContext.selector.select(servers, mDemand, mTriedServers, now);
@@ -81,7 +82,7 @@
     server = mContext.selector.select(servers, mDemand, {}, now);
   }
   if (server == nullptr) {
-    execute(mRetryController->noServerAvailable());
+    execute(mRetryController->refused(Error::NoServer));
     return;
   }
   sendTo(*server);
@@ -123,12 +124,13 @@
     mContext.pool.acquire(aServer, mService->maxConnections, requireNew);
   if (!connection) {
     mTriedServers.insert(aServer.id);
-    execute(mRetryController->noServerAvailable());
+    execute(mRetryController->refused(Error::NoServer));
     return;
   }
   mServerId = aServer.id;
   mServerProcess =
     mix(hash64(aServer.id), static_cast<std::uint64_t>(aServer.startedMs));
+  mServerAddress = aServer.address;
   mConnection = connection;
   mTriedServers.insert(aServer.id);
   mRetryController->attemptStarted();
@@ -280,102 +282,14 @@
   const Instant now = mContext.loop.now();
   if (!aEvent.isRequestSent) {
     mContext.reportServerGone(mServerId, now);
-  } else if (!mHasForwardedEvents) {
+    finishAttempt(AttemptOutcome::NotSent, aEvent.reason);
+  } else if (aEvent.isClosedByServer && !mHasForwardedEvents) {
     mContext.crashDetector.recordLoss(
       mServerId, mServerProcess, mFingerprint, now);
-  }
-  finishAttempt(aEvent.isRequestSent ? AttemptOutcome::Lost
-                                     : AttemptOutcome::NotSent,
-                aEvent.reason);
-}
-
-void
-RequestForwarder::endAttempt(AttemptOutcome aOutcome)
-{
-  mAttemptTimer.cancel();
-  if (!mConnection) {
-    return;
-  }
-  const auto connection = std::move(mConnection);
-  mConnection = nullptr;
-  const Instant now = mContext.loop.now();
-  mContext.selector.requestEnded(
-    mServerId, mDemand, aOutcome, now - mSentAt, now);
-  if (aOutcome == AttemptOutcome::Completed ||
-      aOutcome == AttemptOutcome::Failed ||
-      aOutcome == AttemptOutcome::Rejected) {
-    mContext.crashDetector.recordResponse(mServerId, mSentAt);
-  }
-  if (aOutcome != AttemptOutcome::Completed &&
-      aOutcome != AttemptOutcome::Failed &&
-      aOutcome != AttemptOutcome::Rejected) {
-    connection->abort();
-  }
-  mContext.pool.release(mServerId, connection);
-}
-
-void
-RequestForwarder::finishAttempt(AttemptOutcome aOutcome,
-                                std::string_view aReason)
-{
-  endAttempt(aOutcome);
-  if (aOutcome != AttemptOutcome::Completed) {
-    log(LogLevel::Info,
-        "attempt_ended",
-        { { "request", mRequestId },
-          { "server", mServerId },
-          { "end", nameIn(kAttemptOutcomeNames, aOutcome) },
-          { "status", mResponse.result_int() },
-          { "reason", aReason },
-          { "sendings", mRetryController->attemptCount() },
-          { "events", mEventSequence.deliveredCount() },
-          { "fingerprint", fingerprintText(mFingerprint) },
-          { "left_ms", remainingTime().count() / 1000 } });
+    finishLostAttempt(aEvent.reason);
   } else {
-    mContext.reportServed(mFingerprint);
+    finishAttempt(AttemptOutcome::Lost, aEvent.reason);
   }
-  execute(mRetryController->attemptEnded(aOutcome, remainingTime(), [this] {
-    const bool isAllowed =
-      mContext.retryBudget(mService->name).tryAcquire(mContext.loop.now());
-    if (!isAllowed) {
-      ++mContext.metrics.counter("laburnum_gateway_repeats_denied_total");
-    }
-    return isAllowed;
-  }));
-}
-
-void
-RequestForwarder::migrateFrom(const std::string& aServerId,
-                              AttemptOutcome aOutcome)
-{
-  const Instant now = mContext.loop.now();
-  if (mFinished || !mConnection || mServerId != aServerId ||
-      !mDemand.isGeneration || !isStream() ||
-      remainingTime() < kMinTimeToMigrate ||
-      !mRetryController->canMigrate(remainingTime())) {
-    return;
-  }
-  const ServerRecord* other =
-    mContext.selector.select(mContext.servers.availableServers(mService->name),
-                             mDemand,
-                             mTriedServers,
-                             now);
-  if (other == nullptr || other->slowdown >= kMinMigrationSlowdown ||
-      !mContext.retryBudget(mService->name).tryAcquire(now)) {
-    return;
-  }
-  log(LogLevel::Info,
-      "stream_moved",
-      { { "request", mRequestId },
-        { "from", mServerId },
-        { "end", nameIn(kAttemptOutcomeNames, aOutcome) },
-        { "to", other->id },
-        { "events", mEventSequence.deliveredCount() },
-        { "left_ms", remainingTime().count() / 1000 } });
-  ++mContext.metrics.counter("laburnum_gateway_streams_moved_total");
-  endAttempt(aOutcome);
-  execute(mRetryController->attemptEnded(
-    aOutcome, remainingTime(), [] { return true; }));
 }
 
 void
@@ -412,7 +326,13 @@
 void
 RequestForwarder::apply(const RejectNotExecuted& aDecision)
 {
-  refuse(503, { .error = aDecision.error, .retryAfter = kNoServerRetryAfter });
+  const bool isQuarantineRefusal = aDecision.error == Error::Quarantined;
+  refuse(503,
+         { .error = aDecision.error,
+           .retryAfter = isQuarantineRefusal
+                           ? mContext.quarantine.remaining(mFingerprint,
+                                                           mContext.loop.now())
+                           : kNoServerRetryAfter });
 }
 
 void
@@ -439,7 +359,7 @@
 void
 RequestForwarder::onDeadline()
 {
-  const bool inProgress = mConnection != nullptr;
+  const bool inProgress = mConnection != nullptr || mIsProbing;
   endAttempt(AttemptOutcome::Lost);
   execute(mRetryController->timedOut(inProgress));
 }
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -138,15 +138,24 @@
 {
   mFingerprint = mix(hash64(mAccount),
                      mix(hash64(mRequest.target()), hash64(mRequest.body())));
-  if (mContext.quarantine.suspicion(mFingerprint, mStartedAt) ==
+  if (isQuarantined()) {
+    apply(RejectNotExecuted{ .error = Error::Quarantined });
+    return false;
+  }
+  return true;
+}
+
+bool
+RequestForwarder::isQuarantined() const
+{
+  if (mContext.quarantine.suspicion(mFingerprint, mContext.loop.now()) !=
       policy::Suspicion::Refused) {
-    log(LogLevel::Info,
-        "request_quarantined",
-        { { "request", mRequestId },
-          { "fingerprint", fingerprintText(mFingerprint) } });
-    refuse(503, { .error = Error::Quarantined, .retryAfter = seconds(5) });
     return false;
   }
+  log(LogLevel::Info,
+      "request_quarantined",
+      { { "request", mRequestId },
+        { "fingerprint", fingerprintText(mFingerprint) } });
   return true;
 }
 
--- /dev/null
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -0,0 +1,136 @@
+// How attempts to send a request to a server end.
+
+#include "laburnum/gateway/request_forwarder.hpp"
+
+#include "laburnum/kernel/log.hpp"
+
+namespace laburnum::gateway {
+namespace {
+
+/// A stream with less time left would end before another server has processed
+/// its prompt again, which takes a few passes for a typical prompt.
+constexpr Duration kMinTimeToMigrate = milliseconds(1000);
+
+} // namespace
+
+void
+RequestForwarder::endAttempt(AttemptOutcome aOutcome)
+{
+  mAttemptTimer.cancel();
+  if (!mConnection) {
+    return;
+  }
+  const auto connection = std::move(mConnection);
+  mConnection = nullptr;
+  const Instant now = mContext.loop.now();
+  mContext.selector.requestEnded(
+    mServerId, mDemand, aOutcome, now - mSentAt, now);
+  if (aOutcome == AttemptOutcome::Completed ||
+      aOutcome == AttemptOutcome::Failed ||
+      aOutcome == AttemptOutcome::Rejected) {
+    mContext.crashDetector.recordResponse(mServerId, mSentAt);
+  }
+  if (aOutcome != AttemptOutcome::Completed &&
+      aOutcome != AttemptOutcome::Failed &&
+      aOutcome != AttemptOutcome::Rejected) {
+    connection->abort();
+  }
+  mContext.pool.release(mServerId, connection);
+}
+
+void
+RequestForwarder::finishLostAttempt(std::string_view aReason)
+{
+  recordAttemptEnd(AttemptOutcome::Lost, aReason);
+  mIsProbing = true;
+  mContext.probe.check(
+    mServerAddress,
+    [self = shared_from_this(), server = mServerId](ProbeResult aResult) {
+      if (aResult == ProbeResult::Refused) {
+        self->mContext.reportServerGone(server, self->mContext.loop.now());
+      }
+      self->mIsProbing = false;
+      if (!self->mFinished) {
+        self->decideNext(AttemptOutcome::Lost);
+      }
+    });
+}
+
+void
+RequestForwarder::finishAttempt(AttemptOutcome aOutcome,
+                                std::string_view aReason)
+{
+  recordAttemptEnd(aOutcome, aReason);
+  decideNext(aOutcome);
+}
+
+void
+RequestForwarder::recordAttemptEnd(AttemptOutcome aOutcome,
+                                   std::string_view aReason)
+{
+  endAttempt(aOutcome);
+  if (aOutcome != AttemptOutcome::Completed) {
+    log(LogLevel::Info,
+        "attempt_ended",
+        { { "request", mRequestId },
+          { "server", mServerId },
+          { "end", nameIn(kAttemptOutcomeNames, aOutcome) },
+          { "status", mResponse.result_int() },
+          { "reason", aReason },
+          { "sendings", mRetryController->attemptCount() },
+          { "events", mEventSequence.deliveredCount() },
+          { "fingerprint", fingerprintText(mFingerprint) },
+          { "left_ms", remainingTime().count() / 1000 } });
+  } else {
+    mContext.reportServed(mFingerprint);
+  }
+}
+
+void
+RequestForwarder::decideNext(AttemptOutcome aOutcome)
+{
+  execute(mRetryController->attemptEnded(aOutcome, remainingTime(), [this] {
+    const bool isAllowed =
+      mContext.retryBudget(mService->name).tryAcquire(mContext.loop.now());
+    if (!isAllowed) {
+      ++mContext.metrics.counter("laburnum_gateway_repeats_denied_total");
+    }
+    return isAllowed;
+  }));
+}
+
+void
+RequestForwarder::migrateFrom(const std::string& aServerId,
+                              AttemptOutcome aOutcome)
+{
+  const Instant now = mContext.loop.now();
+  if (mFinished || !mConnection || mServerId != aServerId ||
+      !mDemand.isGeneration || !isStream() ||
+      remainingTime() < kMinTimeToMigrate ||
+      !mRetryController->canMigrate(remainingTime())) {
+    return;
+  }
+  const ServerRecord* other =
+    mContext.selector.select(mContext.servers.availableServers(mService->name),
+                             mDemand,
+                             mTriedServers,
+                             now);
+  if (other == nullptr || other->slowdown >= kMinMigrationSlowdown ||
+      !mContext.retryBudget(mService->name).tryAcquire(now)) {
+    return;
+  }
+  log(LogLevel::Info,
+      "stream_moved",
+      { { "request", mRequestId },
+        { "from", mServerId },
+        { "end", nameIn(kAttemptOutcomeNames, aOutcome) },
+        { "to", other->id },
+        { "events", mEventSequence.deliveredCount() },
+        { "left_ms", remainingTime().count() / 1000 } });
+  ++mContext.metrics.counter("laburnum_gateway_streams_moved_total");
+  endAttempt(aOutcome);
+  execute(mRetryController->attemptEnded(
+    aOutcome, remainingTime(), [] { return true; }));
+}
+
+} // namespace laburnum::gateway
--- a/gateway/src/retry_controller.cpp
+++ b/gateway/src/retry_controller.cpp
@@ -66,7 +66,7 @@
 }
 
 RetryDecision
-RetryController::noServerAvailable() const
+RetryController::refused(Error aReason) const
 {
   if (mResponseStarted) {
     return AbortResponse{};
@@ -74,7 +74,7 @@
   if (mMayHaveExecuted) {
     return FailMayHaveExecuted{};
   }
-  return RejectNotExecuted{};
+  return RejectNotExecuted{ .error = aReason };
 }
 
 } // namespace laburnum::gateway
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -36,6 +36,16 @@
   return timeout ? std::optional<Duration>(seconds(*timeout)) : std::nullopt;
 }
 
+bool
+isClosedByServer(boost::system::error_code aError)
+{
+  return aError == asio::error::eof ||
+         aError == asio::error::connection_reset ||
+         aError == asio::error::broken_pipe ||
+         aError == bhttp::error::end_of_stream ||
+         aError == bhttp::error::partial_message;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(Loop& aLoop, contract::Address aAddress)
@@ -211,6 +221,7 @@
   const Listener listener = std::move(mListener);
   const ConnectionLost event{ .isRequestSent = mRequestSent,
                               .isConnectFailed = !mOpen,
+                              .isClosedByServer = isClosedByServer(aError),
                               .reason = aError.message() };
   abort();
   listener(event);
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -56,6 +56,9 @@
   /// Returns the current suspicion of a request.
   Suspicion suspicion(std::uint64_t aFingerprint, Instant aNow) const;
 
+  /// Returns how long the suspicion of a request lasts; 0 without one.
+  Duration remaining(std::uint64_t aFingerprint, Instant aNow) const;
+
   /// Records a crash of a backend server.
   /// @param aInProgress Fingerprints of the requests it was running.
   /// @return The suspicions that were added or renewed.
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -47,6 +47,15 @@
                                                    : Suspicion::Suspect;
 }
 
+Duration
+Quarantine::remaining(std::uint64_t aFingerprint, Instant aNow) const
+{
+  const auto found = mEntries.find(aFingerprint);
+  return found == mEntries.end()
+           ? Duration(0)
+           : std::max<Duration>(Duration(0), found->second.until - aNow);
+}
+
 Quarantine::Entry*
 Quarantine::entryFor(std::uint64_t aFingerprint, Instant aNow)
 {
