Refuse prompts with a part that crashes servers, and only these

Callers saw: the group open for one second in five, for as long as requests with such a part came; 55 to 80 of 100 requests refused or failed.

Cause: requests were compared as a whole, so of requests that share only one part none was suspected twice (class: the unit of blame was too narrow).

Parts of prompts are suspects like whole requests. What keeps sound requests apart: a part counts a crash only if different requests with it crashed servers; of suspects at the same crashes the more specific one is the cause; a part that any gateway has served within the last half minute is exonerated at all of them, also after servers crashed for another reason.

--- a/agent/src/agent.cpp
+++ b/agent/src/agent.cpp
@@ -402,10 +402,10 @@
 Agent::crashed()
 {
   const Instant now = mLoop.now();
-  std::vector<std::uint64_t> inProgress;
+  std::vector<policy::RequestContent> inProgress;
   for (const auto& [id, attempt] : mAttempts) {
     if (attempt->running) {
-      inProgress.push_back(attempt->order.fingerprint);
+      inProgress.push_back({ .fingerprint = attempt->order.fingerprint });
     }
   }
   mCrashedAt = now;
--- a/bench/src/desk_world.cpp
+++ b/bench/src/desk_world.cpp
@@ -384,10 +384,10 @@
   server.engine.crash();
   std::vector<std::size_t> lost(server.running.begin(), server.running.end());
   server.running.clear();
-  std::vector<std::uint64_t> fingerprints;
+  std::vector<policy::RequestContent> fingerprints;
   for (const std::size_t job : lost) {
     server.scheduler->recordEnd(idOf(job), mQueue.now());
-    fingerprints.push_back(mJobs[job].fingerprint);
+    fingerprints.push_back({ .fingerprint = mJobs[job].fingerprint });
   }
   if (mOptions.quarantine && !aForGood) {
     // The agent's news reaches the entries over their links.
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -8,6 +8,7 @@
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/protocol.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
+#include "laburnum/gateway/served_parts.hpp"
 #include "laburnum/gateway/server_list.hpp"
 #include "laburnum/gateway/server_probe.hpp"
 #include "laburnum/gateway/server_selector.hpp"
@@ -15,7 +16,7 @@
 #include "laburnum/kernel/log.hpp"
 #include "laburnum/kernel/metrics.hpp"
 #include "laburnum/kernel/random.hpp"
-#include "laburnum/policy/quarantine.hpp"
+#include "laburnum/wire/suspicion.hpp"
 
 #include <functional>
 #include <map>
@@ -54,27 +55,78 @@
   /// progress when it was lost become suspected of crashing servers.
   void reportServerGone(const std::string& aServerId, Instant aNow)
   {
-    for (const auto& [crash, suspects] :
+    for (auto& [crash, suspects] :
          crashDetector.takeSuspects(aServerId, aNow)) {
       boost::json::array names;
-      for (const std::uint64_t fingerprint : suspects) {
-        names.emplace_back(fingerprintText(fingerprint));
+      boost::json::array parts;
+      for (policy::RequestContent& request : suspects) {
+        std::erase_if(request.parts, [this](std::uint64_t aPart) {
+          return servedParts.contains(aPart);
+        });
+        names.emplace_back(fingerprintText(request.fingerprint));
+        for (const std::uint64_t part : request.parts) {
+          parts.emplace_back(fingerprintText(part));
+        }
       }
       log(LogLevel::Warn,
           "server_crashed",
           { { "server", aServerId },
             { "in_progress", suspects.size() },
-            { "suspects", std::move(names) } });
+            { "suspects", std::move(names) },
+            { "parts", std::move(parts) } });
       shareSuspicions(quarantine.recordCrash(crash, suspects, aNow));
     }
   }
 
   /// Called when a request ended without a crash.
-  void reportServed(std::uint64_t aFingerprint)
+  void reportEnded(const policy::RequestContent& aRequest)
   {
-    if (quarantine.clearSuspect(aFingerprint)) {
-      shareSuspicions(
-        { { .fingerprint = aFingerprint, .remaining = kQuarantineTime } });
+    if (quarantine.clearSuspect(aRequest.fingerprint)) {
+      shareExonerated({ aRequest.fingerprint });
+    }
+  }
+
+  /// Called when a response to a request with these parts of a prompt has
+  /// begun.
+  void reportServed(const std::vector<std::uint64_t>& aParts, Instant aNow)
+  {
+    std::vector<std::uint64_t> exonerated;
+    for (const std::uint64_t part : aParts) {
+      servedParts.record(part, aNow);
+      if (quarantine.exonerate(part)) {
+        exonerated.push_back(part);
+      }
+    }
+    shareExonerated(exonerated);
+  }
+
+  /// Merges suspicions from other gateways, and exonerates the parts that this
+  /// one has served. Returns what was new.
+  std::vector<policy::SuspicionRecord> mergeSuspicions(
+    const wire::SuspectsT& aMessage)
+  {
+    auto changes = wire::mergeSuspicions(quarantine, aMessage, loop.now());
+    std::vector<std::uint64_t> exonerated;
+    for (const policy::SuspicionRecord& change : changes) {
+      if (change.crashes > 0 && servedParts.contains(change.fingerprint)) {
+        quarantine.exonerate(change.fingerprint);
+        exonerated.push_back(change.fingerprint);
+      }
+    }
+    shareExonerated(exonerated);
+    return changes;
+  }
+
+  /// Tells other gateways that these requests or parts do not crash servers.
+  void shareExonerated(const std::vector<std::uint64_t>& aFingerprints)
+  {
+    std::vector<policy::SuspicionRecord> records;
+    for (const std::uint64_t fingerprint : aFingerprints) {
+      records.push_back(
+        { .fingerprint = fingerprint, .remaining = kQuarantineTime });
+    }
+    if (!records.empty()) {
+      shareSuspicions(records);
     }
   }
 
@@ -92,6 +144,7 @@
   std::map<std::string, int> activeStreams;         ///< By service.
   SurgeDetector surgeDetector;
   CrashDetector crashDetector;
+  ServedParts servedParts;
   /// How long a request that crashes servers is refused.
   static constexpr Duration kQuarantineTime = seconds(60);
   policy::Quarantine quarantine{ kQuarantineTime };
--- a/gateway/include/laburnum/gateway/crash_detector.hpp
+++ b/gateway/include/laburnum/gateway/crash_detector.hpp
@@ -22,10 +22,10 @@
 public:
   /// Records that the connection was lost before the response to a request
   /// began. `aCrash` identifies the process of the server that the request was
-  /// sent to, `aFingerprint` the content of the request.
+  /// sent to.
   void recordLoss(const std::string& aServerId,
                   policy::CrashId aCrash,
-                  std::uint64_t aFingerprint,
+                  policy::RequestContent aRequest,
                   Instant aNow);
 
   /// Records a response to a request sent at `aSentAt`. Losses up to that time
@@ -33,9 +33,9 @@
   void recordResponse(const std::string& aServerId, Instant aSentAt);
 
   /// Called when the server is unreachable or was removed. Returns the
-  /// fingerprints of the requests lost within the last 5 s, by process, and
+  /// requests lost within the last 5 s, by process, and
   /// discards them, so that each is reported once.
-  std::map<policy::CrashId, std::vector<std::uint64_t>> takeSuspects(
+  std::map<policy::CrashId, std::vector<policy::RequestContent>> takeSuspects(
     const std::string& aServerId,
     Instant aNow);
 
@@ -43,7 +43,7 @@
   struct Loss
   {
     policy::CrashId crash = 0;
-    std::uint64_t fingerprint = 0;
+    policy::RequestContent request;
     Instant at{};
   };
   std::map<std::string, std::vector<Loss>> mLosses; ///< By server.
--- a/gateway/include/laburnum/gateway/protocol.hpp
+++ b/gateway/include/laburnum/gateway/protocol.hpp
@@ -17,6 +17,8 @@
   std::string_view account = "Laburnum-Account";
   std::string_view lastEventId = "Last-Event-Id";
   std::string_view promptTokens = "Laburnum-Prompt-Tokens";
+  /// Parts of the prompt in order, `ID:TOKENS` each, separated by commas.
+  std::string_view promptParts = "Laburnum-Prompt-Parts";
   std::string_view lengthHint = "Laburnum-Length-Hint";
   std::string_view priority = "Laburnum-Priority";
   std::string_view failedServer = "Laburnum-Failed-Server";
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -45,6 +45,8 @@
   bool chooseService();
   bool checkQuarantine();
   bool isQuarantined() const;
+  /// Time until a request in quarantine may be sent again.
+  Duration quarantineTime() const;
   void parseDemand();
   bool checkGroupAdmission();
 
@@ -85,7 +87,7 @@
   const Service* mService = nullptr;
   std::string mRequestId;
   std::string mAccount;
-  std::uint64_t mFingerprint = 0;
+  policy::RequestContent mContent;
   ServerSelector::Demand mDemand;
   std::optional<RetryController> mRetryController;
   Instant mStartedAt;
--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -34,7 +34,7 @@
   bool isConnectFailed = false; ///< The connection was never established.
   /// The server closed or reset the connection, as when its process ends.
   bool isClosedByServer = false;
-  std::string reason;           ///< Message of the system error.
+  std::string reason; ///< Message of the system error.
 };
 
 /// What a `ServerConnection` reports while a request is in progress.
--- a/gateway/src/crash_detector.cpp
+++ b/gateway/src/crash_detector.cpp
@@ -16,7 +16,7 @@
 void
 CrashDetector::recordLoss(const std::string& aServerId,
                           policy::CrashId aCrash,
-                          std::uint64_t aFingerprint,
+                          policy::RequestContent aRequest,
                           Instant aNow)
 {
   auto& losses = mLosses[aServerId];
@@ -25,7 +25,7 @@
   });
   if (losses.size() < kMaxLossesPerServer) {
     losses.push_back(
-      { .crash = aCrash, .fingerprint = aFingerprint, .at = aNow });
+      { .crash = aCrash, .request = std::move(aRequest), .at = aNow });
   }
 }
 
@@ -43,17 +43,17 @@
   }
 }
 
-std::map<policy::CrashId, std::vector<std::uint64_t>>
+std::map<policy::CrashId, std::vector<policy::RequestContent>>
 CrashDetector::takeSuspects(const std::string& aServerId, Instant aNow)
 {
-  std::map<policy::CrashId, std::vector<std::uint64_t>> suspects;
+  std::map<policy::CrashId, std::vector<policy::RequestContent>> suspects;
   const auto found = mLosses.find(aServerId);
   if (found == mLosses.end()) {
     return suspects;
   }
   for (const Loss& loss : found->second) {
     if (aNow - loss.at <= kLossRetention) {
-      suspects[loss.crash].push_back(loss.fingerprint);
+      suspects[loss.crash].push_back(loss.request);
     }
   }
   mLosses.erase(found);
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -198,8 +198,7 @@
 GroupFollower::processSuspicions(const LinkPtr& aFrom,
                                  const wire::SuspectsT& aMessage)
 {
-  const auto changes =
-    wire::mergeSuspicions(mContext.quarantine, aMessage, mContext.loop.now());
+  const auto changes = mContext.mergeSuspicions(aMessage);
   if (changes.empty()) {
     return;
   }
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -220,6 +220,7 @@
   }
   if (!mHasForwardedEvents) {
     mHasForwardedEvents = true;
+    mContext.reportServed(mContent.parts, now);
     mFirstEventDelay = now - mStartedAt;
     bhttp::response<bhttp::empty_body> head;
     head.result(mResponse.result());
@@ -284,8 +285,7 @@
     mContext.reportServerGone(mServerId, now);
     finishAttempt(AttemptOutcome::NotSent, aEvent.reason);
   } else if (aEvent.isClosedByServer && !mHasForwardedEvents) {
-    mContext.crashDetector.recordLoss(
-      mServerId, mServerProcess, mFingerprint, now);
+    mContext.crashDetector.recordLoss(mServerId, mServerProcess, mContent, now);
     finishLostAttempt(aEvent.reason);
   } else {
     finishAttempt(AttemptOutcome::Lost, aEvent.reason);
@@ -326,12 +326,10 @@
 void
 RequestForwarder::apply(const RejectNotExecuted& aDecision)
 {
-  const bool isQuarantineRefusal = aDecision.error == Error::Quarantined;
   refuse(503,
          { .error = aDecision.error,
-           .retryAfter = isQuarantineRefusal
-                           ? mContext.quarantine.remaining(mFingerprint,
-                                                           mContext.loop.now())
+           .retryAfter = aDecision.error == Error::Quarantined
+                           ? quarantineTime()
                            : kNoServerRetryAfter });
 }
 
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/gateway/request_forwarder.hpp"
 
 #include "end_to_end.hpp"
+#include "laburnum/gateway/prompt_parts.hpp"
 #include "laburnum/kernel/hash.hpp"
 #include "leading_number.hpp"
 
@@ -136,8 +137,10 @@
 bool
 RequestForwarder::checkQuarantine()
 {
-  mFingerprint = mix(hash64(mAccount),
-                     mix(hash64(mRequest.target()), hash64(mRequest.body())));
+  mContent.fingerprint = mix(
+    hash64(mAccount), mix(hash64(mRequest.target()), hash64(mRequest.body())));
+  mContent.parts = sharedPromptParts(mRequest[mContext.names.promptParts],
+                                     hash64(mService->name));
   if (isQuarantined()) {
     apply(RejectNotExecuted{ .error = Error::Quarantined });
     return false;
@@ -148,17 +151,36 @@
 bool
 RequestForwarder::isQuarantined() const
 {
-  if (mContext.quarantine.suspicion(mFingerprint, mContext.loop.now()) !=
-      policy::Suspicion::Refused) {
+  const Instant now = mContext.loop.now();
+  const auto isRefused = [&](std::uint64_t aFingerprint) {
+    return mContext.quarantine.suspicion(aFingerprint, now) ==
+           policy::Suspicion::Refused;
+  };
+  const auto part =
+    std::find_if(mContent.parts.begin(), mContent.parts.end(), isRefused);
+  const bool hasRefusedPart = part != mContent.parts.end();
+  if (!hasRefusedPart && !isRefused(mContent.fingerprint)) {
     return false;
   }
   log(LogLevel::Info,
       "request_quarantined",
       { { "request", mRequestId },
-        { "fingerprint", fingerprintText(mFingerprint) } });
+        { "fingerprint", fingerprintText(mContent.fingerprint) },
+        { "part", hasRefusedPart ? fingerprintText(*part) : "" } });
   return true;
 }
 
+Duration
+RequestForwarder::quarantineTime() const
+{
+  const Instant now = mContext.loop.now();
+  Duration longest = mContext.quarantine.remaining(mContent.fingerprint, now);
+  for (const std::uint64_t part : mContent.parts) {
+    longest = std::max(longest, mContext.quarantine.remaining(part, now));
+  }
+  return longest;
+}
+
 void
 RequestForwarder::parseDemand()
 {
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -79,10 +79,13 @@
           { "reason", aReason },
           { "sendings", mRetryController->attemptCount() },
           { "events", mEventSequence.deliveredCount() },
-          { "fingerprint", fingerprintText(mFingerprint) },
+          { "fingerprint", fingerprintText(mContent.fingerprint) },
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
-    mContext.reportServed(mFingerprint);
+    mContext.reportEnded(mContent);
+    if (mResponse.result_int() / 100 == 2) {
+      mContext.reportServed(mContent.parts, mContext.loop.now());
+    }
   }
 }
 
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -523,8 +523,8 @@
   // Connections are reset while many clients send the same request.
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, 7, start);
-  detector.recordLoss("i-1", 1, 7, start + milliseconds(10));
+  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLoss("i-1", 1, { 7 }, start + milliseconds(10));
   detector.recordResponse("i-1", start + milliseconds(20));
   CHECK(detector.takeSuspects("i-1", start + seconds(1)).empty());
 }
@@ -533,15 +533,15 @@
 {
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, 7, start);
-  detector.recordLoss("i-1", 1, 8, start);
-  detector.recordLoss("i-1", 2, 7, start);
-  detector.recordLoss("i-2", 3, 9, start);
+  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLoss("i-1", 1, { 8 }, start);
+  detector.recordLoss("i-1", 2, { 7 }, start);
+  detector.recordLoss("i-2", 3, { 9 }, start);
   // A response to a request sent before the loss does not disprove a crash.
   detector.recordResponse("i-1", start - milliseconds(1));
   CHECK(detector.takeSuspects("i-1", start + seconds(1)) ==
-        std::map<policy::CrashId, std::vector<std::uint64_t>>{ { 1, { 7, 8 } },
-                                                               { 2, { 7 } } });
+        std::map<policy::CrashId, std::vector<policy::RequestContent>>{
+          { 1, { { 7 }, { 8 } } }, { 2, { { 7 } } } });
   CHECK(detector.takeSuspects("i-1", start + seconds(1)).empty());
   CHECK(detector.takeSuspects("i-2", start + seconds(6)).empty());
 }
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -22,23 +22,44 @@
 /// crash use the same number.
 using CrashId = std::uint64_t;
 
+/// What identifies the content of a request, as hashes.
+struct RequestContent
+{
+  std::uint64_t fingerprint = 0; ///< Equal for equal requests.
+  /// Parts of the prompt that other requests may share, broadest first.
+  std::vector<std::uint64_t> parts;
+
+  bool operator==(const RequestContent&) const = default;
+};
+
+/// Specificity of a fingerprint; a part of a prompt has its index.
+inline constexpr std::uint8_t kWholeRequest = 255;
+
 /// A suspicion as exchanged between daemons.
 struct SuspicionRecord
 {
-  std::uint64_t fingerprint = 0; ///< Hash that identifies equal requests.
+  std::uint64_t fingerprint = 0; ///< Of a request or a part of prompts.
   /// 0 if the request ended without a crash, 1 for a suspect, 2 or more if
   /// refused.
   std::uint8_t crashes = 0;
   Duration remaining{ 0 };       ///< Time until the suspicion expires.
   std::vector<CrashId> crashIds; ///< Crashes at which it was in progress.
+  std::uint8_t specificity = kWholeRequest;
 };
 
 /// Identifies requests that crash backend servers, so that retries of one do
 /// not take down one server after another. All requests in progress at a crash
 /// become suspects. A request that was in progress at two crashes is taken to
-/// be the cause and refused, unless another one was in progress at both. Which
-/// daemon observed which crash makes no difference once they have exchanged
-/// their records.
+/// be the cause and refused, unless another one was in progress at both.
+///
+/// Parts of prompts are suspected likewise. A part counts a crash only if
+/// another request with it crashed a server before, so that a request that is
+/// sent again does not incriminate its parts. If two suspects were in progress
+/// at the same crashes, the more specific one is the cause: all requests of a
+/// kind share the first part of their prompts.
+///
+/// Which daemon observed which crash makes no difference once they have
+/// exchanged their records.
 /// Not thread-safe; timestamps must not decrease between calls.
 class Quarantine
 {
@@ -60,11 +81,11 @@
   Duration remaining(std::uint64_t aFingerprint, Instant aNow) const;
 
   /// Records a crash of a backend server.
-  /// @param aInProgress Fingerprints of the requests it was running.
+  /// @param aInProgress The requests it was running.
   /// @return The suspicions that were added or renewed.
   std::vector<SuspicionRecord> recordCrash(
     CrashId aCrash,
-    std::span<const std::uint64_t> aInProgress,
+    std::span<const RequestContent> aInProgress,
     Instant aNow);
 
   /// Clears a suspect whose request ended without a crash. A refused request
@@ -72,8 +93,15 @@
   /// @return True if the request was a suspect.
   bool clearSuspect(std::uint64_t aFingerprint);
 
+  /// Clears a request or part that was served, even if it is refused.
+  /// @return True if it was suspected.
+  bool exonerate(std::uint64_t aFingerprint)
+  {
+    return mEntries.erase(aFingerprint) > 0;
+  }
+
   /// Merges a record from another daemon: joins the crashes and keeps the
-  /// stronger suspicion.
+  /// stronger suspicion, or exonerates.
   /// @return True if the record changed the local state.
   bool merge(const SuspicionRecord& aRecord, Instant aNow);
 
@@ -92,12 +120,18 @@
   {
     std::uint8_t crashes = 0;
     std::vector<CrashId> crashIds;
+    std::uint8_t specificity = kWholeRequest;
     Instant until;
   };
   /// Returns the entry of a request for an update, or null at the capacity.
   Entry* entryFor(std::uint64_t aFingerprint, Instant aNow);
   /// True if the crashes of an entry name it as their cause.
   bool isCause(std::uint64_t aFingerprint, const Entry& aEntry) const;
+  /// Adds a crash to a suspicion. Returns false at the capacity.
+  bool addSuspect(std::uint64_t aFingerprint,
+                  std::uint8_t aSpecificity,
+                  CrashId aCrash,
+                  Instant aNow);
   static SuspicionRecord record(std::uint64_t aFingerprint,
                                 const Entry& aEntry,
                                 Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -75,13 +75,34 @@
   if (aEntry.crashIds.size() < kCrashesToRefuse) {
     return false;
   }
-  return aEntry.crashIds.size() >= kCrashesToRefuseAnyway ||
-         std::none_of(
-           mEntries.begin(), mEntries.end(), [&](const auto& aOther) {
-             return aOther.first != aFingerprint &&
-                    countCommon(aOther.second.crashIds, aEntry.crashIds) >=
-                      kCrashesToRefuse;
-           });
+  return std::none_of(
+    mEntries.begin(), mEntries.end(), [&](const auto& aOther) {
+      const auto& [fingerprint, other] = aOther;
+      if (fingerprint == aFingerprint ||
+          countCommon(other.crashIds, aEntry.crashIds) < kCrashesToRefuse) {
+        return false;
+      }
+      return other.specificity > aEntry.specificity ||
+             (other.specificity == aEntry.specificity &&
+              aEntry.crashIds.size() < kCrashesToRefuseAnyway);
+    });
+}
+
+bool
+Quarantine::addSuspect(std::uint64_t aFingerprint,
+                       std::uint8_t aSpecificity,
+                       CrashId aCrash,
+                       Instant aNow)
+{
+  Entry* entry = entryFor(aFingerprint, aNow);
+  if (entry == nullptr) {
+    return false;
+  }
+  addCrash(entry->crashIds, aCrash);
+  entry->crashes = std::max<std::uint8_t>(entry->crashes, 1);
+  entry->specificity = aSpecificity;
+  entry->until = aNow + mRefusalDuration;
+  return true;
 }
 
 SuspicionRecord
@@ -92,21 +113,30 @@
   return { .fingerprint = aFingerprint,
            .crashes = aEntry.crashes,
            .remaining = aEntry.until - aNow,
-           .crashIds = aEntry.crashIds };
+           .crashIds = aEntry.crashIds,
+           .specificity = aEntry.specificity };
 }
 
 std::vector<SuspicionRecord>
 Quarantine::recordCrash(CrashId aCrash,
-                        std::span<const std::uint64_t> aInProgress,
+                        std::span<const RequestContent> aInProgress,
                         Instant aNow)
 {
   std::vector<std::uint64_t> suspects;
-  for (const std::uint64_t fingerprint : aInProgress) {
-    if (Entry* entry = entryFor(fingerprint, aNow)) {
-      addCrash(entry->crashIds, aCrash);
-      entry->crashes = std::max<std::uint8_t>(entry->crashes, 1);
-      entry->until = aNow + mRefusalDuration;
-      suspects.push_back(fingerprint);
+  const auto add = [&](std::uint64_t aFingerprint, std::size_t aSpecificity) {
+    if (addSuspect(aFingerprint,
+                   static_cast<std::uint8_t>(aSpecificity),
+                   aCrash,
+                   aNow)) {
+      suspects.push_back(aFingerprint);
+    }
+  };
+  for (const RequestContent& request : aInProgress) {
+    const bool isRepeated =
+      suspicion(request.fingerprint, aNow) != Suspicion::None;
+    add(request.fingerprint, kWholeRequest);
+    for (std::size_t i = 0; !isRepeated && i < request.parts.size(); ++i) {
+      add(request.parts[i], std::min<std::size_t>(i, kWholeRequest - 1));
     }
   }
   std::sort(suspects.begin(), suspects.end());
@@ -141,7 +171,7 @@
     return false;
   }
   if (aRecord.crashes == 0) {
-    return clearSuspect(aRecord.fingerprint);
+    return exonerate(aRecord.fingerprint);
   }
   Entry* entry = entryFor(aRecord.fingerprint, aNow);
   if (entry == nullptr) {
@@ -155,6 +185,7 @@
     return false;
   }
   entry->crashes = std::max(entry->crashes, aRecord.crashes);
+  entry->specificity = aRecord.specificity;
   if (isCause(aRecord.fingerprint, *entry)) {
     entry->crashes = std::max(entry->crashes, kCrashesToRefuse);
   }
--- a/policy/tests/unit_sharing.cpp
+++ b/policy/tests/unit_sharing.cpp
@@ -255,7 +255,7 @@
 TEST_CASE("quarantine_eachDaemonSeesOneCrash_bothRefuseTheRequest")
 {
   const Instant now{ seconds(1) };
-  const std::uint64_t crashing[]{ 7 };
+  const RequestContent crashing[]{ { 7 } };
   Quarantine first(seconds(60));
   Quarantine second(seconds(60));
   const auto ofFirst = first.recordCrash(1, crashing, now);
@@ -269,7 +269,7 @@
 TEST_CASE("quarantine_twoDaemonsSeeTheSameCrash_requestStaysASuspect")
 {
   const Instant now{ seconds(1) };
-  const std::uint64_t sound[]{ 7 };
+  const RequestContent sound[]{ { 7 } };
   Quarantine first(seconds(60));
   Quarantine second(seconds(60));
   first.recordCrash(1, sound, now);
@@ -282,12 +282,48 @@
   }
 }
 
+TEST_CASE(
+  "quarantine_differentRequestsShareACrashingPart_onlyThatPartIsRefused")
+{
+  const Instant now{ seconds(1) };
+  constexpr std::uint64_t kShared = 100;
+  constexpr std::uint64_t kCrashing = 101;
+  Quarantine quarantine(seconds(60));
+  const RequestContent first[]{ { 1, { kShared, kCrashing } },
+                                { 2, { kShared, 102 } } };
+  const RequestContent second[]{ { 3, { kShared, kCrashing } } };
+  quarantine.recordCrash(1, first, now);
+  quarantine.recordCrash(2, second, now);
+  CHECK(quarantine.suspicion(kCrashing, now) == Suspicion::Refused);
+  CHECK(quarantine.suspicion(kShared, now) == Suspicion::Suspect);
+  CHECK(quarantine.suspicion(3, now) == Suspicion::Suspect);
+  CHECK(quarantine.suspicion(102, now) == Suspicion::Suspect);
+}
+
+TEST_CASE("quarantine_oneRequestCrashesTwoServers_itsPartsAreNotRefused")
+{
+  const Instant now{ seconds(1) };
+  Quarantine quarantine(seconds(60));
+  const RequestContent crashing[]{ { 1, { 100, 101 } } };
+  quarantine.recordCrash(1, crashing, now);
+  quarantine.recordCrash(2, crashing, now);
+  CHECK(quarantine.suspicion(1, now) == Suspicion::Refused);
+  CHECK(quarantine.suspicion(101, now) == Suspicion::Suspect);
+  SECTION("another request with a part of it crashes a third")
+  {
+    const RequestContent other[]{ { 2, { 100, 101 } } };
+    quarantine.recordCrash(3, other, now);
+    CHECK(quarantine.suspicion(101, now) == Suspicion::Refused);
+    CHECK(quarantine.suspicion(100, now) == Suspicion::Suspect);
+  }
+}
+
 TEST_CASE("Quarantine, crashes among other requests, identify only the cause")
 {
   Quarantine quarantine(seconds(60));
   const Instant now{ seconds(1) };
   const std::uint64_t crashing = 1;
-  const std::uint64_t firstCrash[]{ crashing, 2, 3 };
+  const RequestContent firstCrash[]{ { crashing }, { 2 }, { 3 } };
   quarantine.recordCrash(1, firstCrash, now);
   CHECK(quarantine.suspicion(crashing, now) == Suspicion::Suspect);
   CHECK(quarantine.suspicion(2, now) == Suspicion::Suspect);
@@ -296,7 +332,7 @@
 
   SECTION("the only request in progress at both crashes is refused")
   {
-    const std::uint64_t secondCrash[]{ crashing, 4 };
+    const RequestContent secondCrash[]{ { crashing }, { 4 } };
     quarantine.recordCrash(2, secondCrash, now);
     CHECK(quarantine.suspicion(crashing, now) == Suspicion::Refused);
     CHECK(quarantine.suspicion(4, now) == Suspicion::Suspect);
@@ -304,7 +340,7 @@
   }
   SECTION("two requests in progress at both crashes stay suspects")
   {
-    const std::uint64_t secondCrash[]{ crashing, 3 };
+    const RequestContent secondCrash[]{ { crashing }, { 3 } };
     quarantine.recordCrash(2, secondCrash, now);
     CHECK(quarantine.suspicion(crashing, now) == Suspicion::Suspect);
     CHECK(quarantine.suspicion(3, now) == Suspicion::Suspect);
--- a/wire/src/suspicion.cpp
+++ b/wire/src/suspicion.cpp
@@ -12,6 +12,7 @@
     message.fingerprints.push_back(record.fingerprint);
     message.crashes.push_back(record.crashes);
     message.remaining_us.push_back(record.remaining.count());
+    message.specificities.push_back(record.specificity);
     message.crash_id_counts.push_back(
       static_cast<std::uint8_t>(record.crashIds.size()));
     message.crash_ids.insert(
@@ -35,6 +36,9 @@
                                     .crashes = aMessage.crashes[i],
                                     .remaining =
                                       Duration(aMessage.remaining_us[i]) };
+    if (i < aMessage.specificities.size()) {
+      record.specificity = aMessage.specificities[i];
+    }
     // Daemons of an earlier version do not send crashes.
     const std::size_t lastCrash =
       std::min(firstCrash + (i < aMessage.crash_id_counts.size()
