Gateway: send nothing more to a server that says in an answer that it leaves

Cause: gateways knew of a leaving server only from the list and from status 421; the header was not read.

A server process that says so in any answer, also in an error, is excluded by its ID and start time. It stays excluded if its entry lapses and returns, and is available again once it has restarted; a late answer of the former process does not concern the new one. Idle connections to it are closed.

gateway_serverSaysThatItLeaves_getsNoFurtherRequest (success, error, refusal) failed without the header's check: three requests at the leaving server, now one. server_list_serverSaidItLeaves_staysExcludedUntilItRestarts.

--- a/gateway/include/laburnum/gateway/protocol.hpp
+++ b/gateway/include/laburnum/gateway/protocol.hpp
@@ -21,6 +21,7 @@
   std::string_view promptParts = "Laburnum-Prompt-Parts";
   std::string_view lengthHint = "Laburnum-Length-Hint";
   std::string_view priority = "Laburnum-Priority";
+  std::string_view serverLeaving = "Laburnum-Leaving"; ///< "1" if it is.
   std::string_view failedServer = "Laburnum-Failed-Server";
 };
 
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -98,6 +98,7 @@
   std::string mServerId;
   policy::CrashId mServerProcess = 0; ///< Process of `mServerId`.
   contract::Address mServerAddress;
+  std::int64_t mServerStartedMs = 0;
   bool mIsProbing = false; ///< Whether the server of a lost attempt crashed.
   std::shared_ptr<ServerConnection> mConnection;
   Instant mSentAt{};
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -84,8 +84,9 @@
   /// Returns the record of a server, or null.
   const ServerRecord* find(const std::string& aServerId) const;
 
-  /// Excludes a server process that rejected a request because it is leaving or
-  /// because its address now belongs to another server.
+  /// Excludes a server process that said that it is leaving, or whose address
+  /// now belongs to another server. It stays excluded if its entry lapses and
+  /// returns.
   void markLeaving(const std::string& aServerId, std::int64_t aStartedMs);
 
   std::size_t size() const { return mRecords.size(); }
@@ -95,14 +96,25 @@
   {
     ServerRecord record;
     std::optional<Instant> missingSince; ///< Set in the grace period.
-    bool reportedLeaving = false;        ///< See `markLeaving`.
   };
+  /// What a server process said in its responses.
+  struct Notice
+  {
+    std::int64_t startedMs = 0; ///< Of the process.
+    bool isLeaving = false;
+  };
+  /// Returns the notice of a server process for an update, or null if a later
+  /// process of the server is known.
+  Notice* noticeOf(const std::string& aServerId, std::int64_t aStartedMs);
+  /// Returns the notice of the server process in the list, or null.
+  const Notice* currentNotice(const ServerRecord& aRecord) const;
   bool inGracePeriod(Instant aNow) const;
   bool removeOrMarkMissing(const std::string& aServerId, Instant aNow);
   bool upsert(const ServerRecord& aRecord);
 
   ServerListOptions mOptions;
   std::map<std::string, Entry> mRecords;
+  std::map<std::string, Notice> mNotices; ///< By server.
   bool mIsSourceLost = false;
   std::optional<Instant> mSourceRestoredAt;
 };
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -131,6 +131,7 @@
   mServerProcess =
     mix(hash64(aServer.id), static_cast<std::uint64_t>(aServer.startedMs));
   mServerAddress = aServer.address;
+  mServerStartedMs = aServer.startedMs;
   mConnection = connection;
   mTriedServers.insert(aServer.id);
   mRetryController->attemptStarted();
@@ -175,6 +176,11 @@
   if (!isMatching) {
     finishAttempt(AttemptOutcome::InvalidResponse,
                   "response does not match the request");
+    return;
+  }
+  if (mResponse[mContext.names.serverLeaving] == "1") {
+    mContext.servers.markLeaving(mServerId, mServerStartedMs);
+    mContext.pool.closeIdle(mServerId);
   }
 }
 
@@ -270,9 +276,7 @@
 RequestForwarder::handle(const ResponseEnd&)
 {
   if (mResponse.result_int() == 421) {
-    if (const ServerRecord* server = mContext.servers.find(mServerId)) {
-      mContext.servers.markLeaving(mServerId, server->startedMs);
-    }
+    mContext.servers.markLeaving(mServerId, mServerStartedMs);
   }
   finishAttempt(classifyResponse(), "answer");
 }
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -1,6 +1,12 @@
 #include "laburnum/gateway/server_list.hpp"
 
 namespace laburnum::gateway {
+namespace {
+
+/// Notices from which those of servers that are no longer listed are dropped.
+constexpr std::size_t kMaxNotices = 2048;
+
+} // namespace
 
 bool
 ServerList::inGracePeriod(Instant aNow) const
@@ -14,13 +20,9 @@
 ServerList::upsert(const ServerRecord& aRecord)
 {
   Entry& entry = mRecords[aRecord.id];
-  const bool isRestarted = entry.record.startedMs != aRecord.startedMs;
   const bool wasAvailable = !entry.record.id.empty() && !entry.record.isLeaving;
   entry.record = aRecord;
   entry.missingSince.reset();
-  if (isRestarted) {
-    entry.reportedLeaving = false;
-  }
   return wasAvailable && aRecord.isLeaving;
 }
 
@@ -118,8 +120,9 @@
 {
   std::vector<const ServerRecord*> available;
   for (const auto& [id, entry] : mRecords) {
+    const Notice* notice = currentNotice(entry.record);
     if (entry.record.service == aService && !entry.record.isLeaving &&
-        !entry.reportedLeaving) {
+        (notice == nullptr || !notice->isLeaving)) {
       available.push_back(&entry.record);
     }
   }
@@ -133,12 +136,38 @@
   return found == mRecords.end() ? nullptr : &found->second.record;
 }
 
+ServerList::Notice*
+ServerList::noticeOf(const std::string& aServerId, std::int64_t aStartedMs)
+{
+  if (mNotices.size() >= kMaxNotices) {
+    std::erase_if(mNotices, [this](const auto& aNotice) {
+      return !mRecords.contains(aNotice.first);
+    });
+  }
+  Notice& notice = mNotices[aServerId];
+  if (notice.startedMs > aStartedMs) {
+    return nullptr; // Said by a former process.
+  }
+  if (notice.startedMs < aStartedMs) {
+    notice = { .startedMs = aStartedMs };
+  }
+  return &notice;
+}
+
+const ServerList::Notice*
+ServerList::currentNotice(const ServerRecord& aRecord) const
+{
+  const auto found = mNotices.find(aRecord.id);
+  return found != mNotices.end() && found->second.startedMs == aRecord.startedMs
+           ? &found->second
+           : nullptr;
+}
+
 void
 ServerList::markLeaving(const std::string& aServerId, std::int64_t aStartedMs)
 {
-  const auto found = mRecords.find(aServerId);
-  if (found != mRecords.end() && found->second.record.startedMs == aStartedMs) {
-    found->second.reportedLeaving = true;
+  if (Notice* notice = noticeOf(aServerId, aStartedMs)) {
+    notice->isLeaving = true;
   }
 }
 
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -518,6 +518,29 @@
   CHECK(policy.accepts(early, early + seconds(8)));
 }
 
+TEST_CASE("server_list_serverSaidItLeaves_staysExcludedUntilItRestarts")
+{
+  ServerList list;
+  const Instant now{ seconds(100) };
+  ServerRecord server{ .id = "x", .service = "s", .startedMs = 1 };
+  list.replace({ server }, now);
+  list.markLeaving("x", 1);
+  CHECK(list.availableServers("s").empty());
+  // Its entry lapses and is written again.
+  list.apply({ { .id = "x" } }, now);
+  list.apply({ { .id = "x", .record = server } }, now);
+  CHECK(list.availableServers("s").empty());
+  server.startedMs = 2;
+  list.apply({ { .id = "x", .record = server } }, now);
+  CHECK(list.availableServers("s").size() == 1);
+  // A late response of the former process does not concern the new one.
+  list.markLeaving("x", 1);
+  CHECK(list.availableServers("s").size() == 1);
+  list.markLeaving("x", 2);
+  list.markLeaving("x", 1);
+  CHECK(list.availableServers("s").empty());
+}
+
 TEST_CASE("crash_detector_serverRespondsLater_suspectsNothing")
 {
   // Connections are reset while many clients send the same request.
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -224,3 +224,22 @@
   }
   CHECK(server.requests >= 6);
 }
+
+TEST_CASE("gateway_serverSaysThatItLeaves_getsNoFurtherRequest")
+{
+  const std::string leaving = "Laburnum-Leaving: 1\r\n";
+  const std::vector<std::string> responses = {
+    response(200, kSignatureField + leaving, "body"),
+    response(500, kSignatureField + leaving, "x"),
+    response(503, "Laburnum-Not-Executed: 1\r\n" + leaving, ""),
+  };
+  for (const std::string& first : responses) {
+    GatewayFixture fixture(
+      { { first }, { response(200, kSignatureField, "body") } });
+    for (int i = 0; i < 3; ++i) {
+      fixture.request("POST", "/once/x", "", "work");
+    }
+    CHECK(fixture.servers[0]->requests.size() == 1);
+    CHECK(fixture.servers[1]->requests.size() == 2);
+  }
+}
