Gateway: send nothing to a server for as long as its 503 asks for

Cause: a refusal counted as one failed attempt, after which a server was avoided for half a second to four seconds, and only if others were left; what the server asked for was not read.

A 503 with Retry-After takes the server process out of the choice for that time, an hour at most, until it has restarted. Requests go to other servers; without one they are refused at once and told when the first server accepts requests.

gateway_serverAsksForAPause_requestsGoElsewhereOrAreRejectedAtOnce failed without the pause (three requests at the server, now one); server_list_serverAsksForAPause_isNotReadyUntilItEnds.

--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -54,6 +54,9 @@
   void sendTo(const ServerRecord& aServer);
   http::Request buildRequest(const ServerRecord& aServer) const;
   void handle(const ResponseHead& aEvent);
+  /// Stops sending to the server for as long as its response asks for.
+  void pauseServer();
+  Duration noServerRetryAfter() const;
   void handle(const ResponseBytes& aEvent);
   void handle(const ResponseEnd& aEvent);
   void handle(const ConnectionLost& aEvent);
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -84,11 +84,25 @@
   /// Returns the record of a server, or null.
   const ServerRecord* find(const std::string& aServerId) const;
 
+  /// Returns the available servers that accept requests of this gateway now.
+  std::vector<const ServerRecord*> readyServers(const std::string& aService,
+                                                Instant aNow) const;
+
   /// Excludes a server process that said that it is leaving, or whose address
   /// now belongs to another server. It stays excluded if its entry lapses and
   /// returns.
   void markLeaving(const std::string& aServerId, std::int64_t aStartedMs);
 
+  /// Excludes a server process from `readyServers` for a time, as it asked for.
+  void pause(const std::string& aServerId,
+             std::int64_t aStartedMs,
+             Instant aUntil);
+
+  /// Returns when the first paused server of a service accepts requests again,
+  /// or nothing if none is paused.
+  std::optional<Instant> firstResumption(const std::string& aService,
+                                         Instant aNow) const;
+
   std::size_t size() const { return mRecords.size(); }
 
 private:
@@ -102,6 +116,7 @@
   {
     std::int64_t startedMs = 0; ///< Of the process.
     bool isLeaving = false;
+    Instant pausedUntil{};
   };
   /// Returns the notice of a server process for an update, or null if a later
   /// process of the server is known.
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -4,6 +4,7 @@
 
 #include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/log.hpp"
+#include "leading_number.hpp"
 
 #include <algorithm>
 
@@ -20,6 +21,8 @@
 /// latency objective, and is then retried on another server.
 constexpr double kAttemptTimeoutFactor = 2.5;
 
+/// Limit of the time for which a server may ask for no requests.
+constexpr Duration kMaxServerPause = seconds(3600);
 /// Limit of a response that is buffered until it is complete; a larger one is
 /// treated as invalid. A faulty server may send without end.
 constexpr std::size_t kMaxBufferedBytes = 8UL * 1024 * 1024;
@@ -75,7 +78,7 @@
     execute(mRetryController->refused(Error::Quarantined));
     return;
   }
-  const auto servers = mContext.servers.availableServers(mService->name);
+  const auto servers = mContext.servers.readyServers(mService->name, now);
   const ServerRecord* server =
     mContext.selector.select(servers, mDemand, mTriedServers, now);
   if (server == nullptr && !mTriedServers.empty()) {
@@ -182,6 +185,23 @@
     mContext.servers.markLeaving(mServerId, mServerStartedMs);
     mContext.pool.closeIdle(mServerId);
   }
+  if (aEvent.head.result_int() == 503) {
+    pauseServer();
+  }
+}
+
+void
+RequestForwarder::pauseServer()
+{
+  const auto pause =
+    leadingNumber<double>(mResponse[bhttp::field::retry_after]);
+  if (pause && *pause > 0) {
+    mContext.servers.pause(
+      mServerId,
+      mServerStartedMs,
+      mContext.loop.now() +
+        fromSeconds(std::min(*pause, toSeconds(kMaxServerPause))));
+  }
 }
 
 void
@@ -334,7 +354,18 @@
          { .error = aDecision.error,
            .retryAfter = aDecision.error == Error::Quarantined
                            ? quarantineTime()
-                           : kNoServerRetryAfter });
+                           : noServerRetryAfter() });
+}
+
+Duration
+RequestForwarder::noServerRetryAfter() const
+{
+  const Instant now = mContext.loop.now();
+  const auto resumption =
+    mContext.servers.readyServers(mService->name, now).empty()
+      ? mContext.servers.firstResumption(mService->name, now)
+      : std::nullopt;
+  return resumption ? *resumption - now : kNoServerRetryAfter;
 }
 
 void
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -114,7 +114,7 @@
     return;
   }
   const ServerRecord* other =
-    mContext.selector.select(mContext.servers.availableServers(mService->name),
+    mContext.selector.select(mContext.servers.readyServers(mService->name, now),
                              mDemand,
                              mTriedServers,
                              now);
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/gateway/server_list.hpp"
 
+#include <algorithm>
+
 namespace laburnum::gateway {
 namespace {
 
@@ -171,4 +173,39 @@
   }
 }
 
+void
+ServerList::pause(const std::string& aServerId,
+                  std::int64_t aStartedMs,
+                  Instant aUntil)
+{
+  if (Notice* notice = noticeOf(aServerId, aStartedMs)) {
+    notice->pausedUntil = std::max(notice->pausedUntil, aUntil);
+  }
+}
+
+std::vector<const ServerRecord*>
+ServerList::readyServers(const std::string& aService, Instant aNow) const
+{
+  auto servers = availableServers(aService);
+  std::erase_if(servers, [&](const ServerRecord* aServer) {
+    const Notice* notice = currentNotice(*aServer);
+    return notice != nullptr && notice->pausedUntil > aNow;
+  });
+  return servers;
+}
+
+std::optional<Instant>
+ServerList::firstResumption(const std::string& aService, Instant aNow) const
+{
+  std::optional<Instant> first;
+  for (const ServerRecord* server : availableServers(aService)) {
+    const Notice* notice = currentNotice(*server);
+    if (notice != nullptr && notice->pausedUntil > aNow &&
+        (!first || notice->pausedUntil < *first)) {
+      first = notice->pausedUntil;
+    }
+  }
+  return first;
+}
+
 } // namespace laburnum::gateway
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -541,6 +541,21 @@
   CHECK(list.availableServers("s").empty());
 }
 
+TEST_CASE("server_list_serverAsksForAPause_isNotReadyUntilItEnds")
+{
+  ServerList list;
+  const Instant now{ seconds(100) };
+  list.replace({ { .id = "x", .service = "s", .startedMs = 1 },
+                 { .id = "y", .service = "s", .startedMs = 1 } },
+               now);
+  list.pause("x", 1, now + seconds(3));
+  list.pause("x", 1, now + seconds(1));
+  CHECK(list.readyServers("s", now + milliseconds(2999)).size() == 1);
+  CHECK(list.readyServers("s", now + seconds(3)).size() == 2);
+  CHECK(list.firstResumption("s", now) == now + seconds(3));
+  CHECK_FALSE(list.firstResumption("s", now + seconds(3)));
+}
+
 TEST_CASE("crash_detector_serverRespondsLater_suspectsNothing")
 {
   // Connections are reset while many clients send the same request.
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -243,3 +243,26 @@
     CHECK(fixture.servers[1]->requests.size() == 2);
   }
 }
+
+TEST_CASE("gateway_serverAsksForAPause_requestsGoElsewhereOrAreRejectedAtOnce")
+{
+  const std::string full =
+    response(503, "Laburnum-Not-Executed: 1\r\nRetry-After: 20\r\n", "");
+  GatewayFixture two({ { full }, { response(200, kSignatureField, "body") } });
+  for (int i = 0; i < 3; ++i) {
+    two.request("POST", "/once/x", "", "work");
+  }
+  CHECK(two.servers[0]->requests.size() == 1);
+  CHECK(two.servers[1]->requests.size() == 2);
+
+  GatewayFixture one({ { full } });
+  one.request("POST", "/once/x", "", "work");
+  const std::string received = one.request("POST", "/once/x", "", "work");
+  CHECK(statusOf(received) == 503);
+  CHECK(one.servers[0]->requests.size() == 1);
+  // The client is told when the server accepts requests again.
+  const std::string_view field = "Retry-After: ";
+  const std::size_t at = received.find(field);
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stod(received.substr(at + field.size())) > 10);
+}
