Gateway: repeat an attempt at the same server only on a new connection

Seen by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for a request that it ran.

Cause: responses are told apart by the attempt ID. A request that all servers have refused may be sent to the first one again, under the same ID and, where it may be repeated, on the same connection; a copy of the refusal then passes for the response. Ruled out: copies of another request's refusal (the ID differs) and work that may run once (it only goes out on new connections).

gateway_serverRepeatsRefusal_requestThatRanIsNotReportedAsNotRun failed before on /safe/ and /events/, not on /once/.

--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -122,7 +122,10 @@
 void
 RequestForwarder::sendTo(const ServerRecord& aServer)
 {
-  const bool requireNew = !mRoute->isRetryable();
+  // On a connection that has carried an attempt of this request, a repeated
+  // response to that attempt would pass for the response to this one.
+  const bool requireNew =
+    !mRoute->isRetryable() || mTriedServers.contains(aServer.id);
   auto connection =
     mContext.pool.acquire(aServer, mService->maxConnections, requireNew);
   if (!connection) {
--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -18,7 +18,8 @@
 
 /// A backend server that sends scripted bytes, one text per request, and stores
 /// the requests it receives. `$ID` is replaced by the attempt ID. The
-/// connection stays open after a text with `Content-Length` or `$HANG`.
+/// connection stays open after a text with `Content-Length` or `$HANG`, and is
+/// reset after a text that ends with `$RESET`.
 class ScriptedServer
 {
 public:
@@ -40,6 +41,7 @@
   }
 
   std::vector<http::Request> requests;
+  std::size_t connections = 0;
   bool isConnectionClosed = false;
 
 private:
@@ -47,6 +49,7 @@
   {
     for (;;) {
       Socket socket = co_await mAcceptor.async_accept(use_awaitable);
+      ++connections;
       mLoop.spawn(serve(std::move(socket)));
     }
   }
@@ -69,8 +72,18 @@
       if (at != std::string::npos) {
         text.replace(at, 3, std::string(request["Laburnum-Attempt"]));
       }
+      const bool isReset = text.ends_with("$RESET");
+      if (isReset) {
+        text.resize(text.size() - std::string_view("$RESET").size());
+      }
       co_await asio::async_write(
         aSocket, asio::buffer(text), redirect_error(use_awaitable, error));
+      if (isReset) {
+        co_await mLoop.sleep(milliseconds(20)); // The bytes arrive before it.
+        aSocket.set_option(asio::socket_base::linger(true, 0));
+        aSocket.close();
+        co_return;
+      }
       if (text.find("$HANG") == std::string::npos &&
           text.find("Content-Length") == std::string::npos) {
         co_return;
@@ -182,14 +195,15 @@
 /// A gateway in front of scripted servers, with one route of each type.
 struct GatewayFixture
 {
-  explicit GatewayFixture(std::vector<std::vector<std::string>> aServers)
+  explicit GatewayFixture(std::vector<std::vector<std::string>> aServers,
+                          int aMaxAttempts = 2)
   {
     for (auto& texts : aServers) {
       servers.push_back(
         std::make_unique<ScriptedServer>(loop, std::move(texts)));
     }
     Configuration configuration{ .version = 1 };
-    const auto route = [](std::string aPrefix, RouteType aRepeat) {
+    const auto route = [&](std::string aPrefix, RouteType aRepeat) {
       return Route{ .name = aPrefix,
                     .host = "h",
                     .pathPrefix = aPrefix,
@@ -197,7 +211,8 @@
                     .type = aRepeat,
                     .timeout = seconds(5),
                     .latencyObjective = seconds(2),
-                    .maxAttempts = aRepeat == RouteType::NonIdempotent ? 1 : 2,
+                    .maxAttempts =
+                      aRepeat == RouteType::NonIdempotent ? 1 : aMaxAttempts,
                     .isPublic = aPrefix != "/key/",
                     .isResumable = true };
     };
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -266,3 +266,21 @@
   REQUIRE(at != std::string::npos);
   CHECK(std::stod(received.substr(at + field.size())) > 10);
 }
+
+TEST_CASE("gateway_serverRepeatsRefusal_requestThatRanIsNotReportedAsNotRun")
+{
+  // A server refuses the first request of a connection. It runs any further
+  // one, and sends the refusal once more in place of the response.
+  const std::string refusal = response(503, "Laburnum-Not-Executed: 1\r\n", "");
+  const std::string path = GENERATE("/safe/", "/once/", "/events/");
+  CAPTURE(path);
+  GatewayFixture fixture({ { refusal }, { refusal } }, 3);
+  const std::string received = fixture.request("POST", path, "", "work");
+  std::size_t connections = 0;
+  for (const auto& server : fixture.servers) {
+    connections += server->connections;
+  }
+  const bool hasRun = fixture.requestCount() > connections;
+  CHECK(received.find("\"not_run\"") != std::string::npos);
+  CHECK_FALSE(hasRun);
+}
