Gateway: never end a stream that broke off with another server's error or empty answer

Seen by other operators: a stream broke off, the next server answered with an error, and the stream ended as if it were complete (ORDER).

Cause: responses were classified without regard to what the client already has. A 4xx is a complete response for a request that has just begun, but not the rest of a stream; neither is a success that is no event stream, or one without events, which proves nothing about what the first server had left to send. Ruled out: bytes of the error within the stream. The body of a response that is no event stream is buffered and was never written after events.

Now such a response is a failed attempt: the stream is continued at another server or broken off.

gateway_errorAfterBrokenStream_isNoPartOfTheStream: six of 13 answers of the second server failed before (400, 404, 200, 204, two empty event streams).

--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -109,7 +109,8 @@
   bool mIsEventStream = false;
   EventSplitter mSplitter;
   EventSequence mEventSequence;
-  bool mHasForwardedEvents = false;
+  bool mHasForwardedEvents = false; ///< In any attempt.
+  bool mAttemptHasEvents = false;   ///< In the attempt in progress.
   Instant mLastEventAt{};
   Duration mFirstEventDelay{ 0 };
   Duration mMaxGap{ 0 };
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -144,6 +144,7 @@
   mSentAt = mContext.loop.now();
   mContext.selector.requestStarted(mServerId, mDemand, mSentAt);
   mIsEventStream = false;
+  mAttemptHasEvents = false;
   mResponse = {};
   mSplitter = {};
   if (mRoute->type == RouteType::Idempotent) {
@@ -242,6 +243,7 @@
   if (completeEvents.empty()) {
     return true;
   }
+  mAttemptHasEvents = true;
   // A stalled server may go on sending comments, or a byte now and then.
   if (hasProgress) {
     mContext.selector.recordActivity(mServerId, now);
@@ -277,7 +279,7 @@
 RequestForwarder::classifyResponse() const
 {
   if (mIsEventStream) {
-    return mSplitter.hasPartialEvent() || !mHasForwardedEvents
+    return mSplitter.hasPartialEvent() || !mAttemptHasEvents
              ? AttemptOutcome::InvalidResponse
              : AttemptOutcome::Completed;
   }
@@ -285,6 +287,10 @@
   if (mResponse.count(mContext.names.notExecuted) > 0 || status == 421) {
     return AttemptOutcome::Rejected;
   }
+  if (mHasForwardedEvents) {
+    // Not the rest of the stream that another server has begun.
+    return AttemptOutcome::Failed;
+  }
   if (status / 100 == 5 || status == 429 || status == 408) {
     return AttemptOutcome::Failed;
   }
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -284,3 +284,36 @@
   CHECK(received.find("\"not_run\"") != std::string::npos);
   CHECK_FALSE(hasRun);
 }
+
+TEST_CASE("gateway_errorAfterBrokenStream_isNoPartOfTheStream")
+{
+  const std::string begun =
+    kEventStreamHead + chunk("id: 1\ndata: a\n\nid: 2\nda");
+  const std::string brokenHead = "HTTP/1.1 200 OK\r\nLaburnum-Att";
+  const std::vector<std::string> seconds = {
+    response(404, kSignatureField, "failure"),
+    response(400, kSignatureField, "failure"),
+    response(500, kSignatureField, "failure"),
+    response(503, "Laburnum-Not-Executed: 1\r\n", "failure"),
+    response(503, kSignatureField, "failure"),
+    response(421, "", "failure"),
+    response(200, kSignatureField, "failure"),
+    response(204, kSignatureField, ""),
+    response(200, kSignatureField + "Content-Type: text/event-stream\r\n", ""),
+    kEventStreamHead + "0\r\n\r\n",
+    kEventStreamHead + chunk("failure"),
+    brokenHead,
+    "",
+  };
+  for (const std::string& second : seconds) {
+    CAPTURE(second);
+    GatewayFixture fixture({ { begun }, { second } });
+    const std::string received =
+      fixture.request("POST", "/events/x", "", "prompt");
+    CHECK(fixture.servers[1]->requests.size() == 1);
+    CHECK(received.find("id: 1\ndata: a\n\n") != std::string::npos);
+    CHECK(received.find("failure") == std::string::npos);
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+  }
+}
