Gateway: test answers that end within their head, or have neither length nor chunks

Seen by other operators: a 200 with an empty or short body, framed as whole, after a server had closed within its head. Looked for at every byte of a head: does not happen here, neither for work that may run once (502) nor for what may be repeated (the second server's answer).

Holds without a change.

--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -317,3 +317,41 @@
     CHECK_FALSE(received.ends_with("0\r\n\r\n"));
   }
 }
+
+TEST_CASE("gateway_serverClosesWithinHead_isNeverASuccess")
+{
+  const std::string whole = response(200, kSignatureField, "body");
+  const std::size_t headSize = whole.find("body");
+  for (std::size_t size = 0; size < headSize; ++size) {
+    std::string text = whole.substr(0, size);
+    CAPTURE(text);
+    // A script with this field would keep the connection open.
+    const std::size_t field = text.find("Content-Length");
+    if (field != std::string::npos) {
+      text.replace(field, 9, "content");
+    }
+    GatewayFixture once({ { text } });
+    CHECK(statusOf(once.request("POST", "/once/x", "", "work")) == 502);
+    GatewayFixture safe({ { text }, { whole } });
+    const std::string received = safe.request("GET", "/safe/x");
+    CHECK(statusOf(received) == 200);
+    CHECK(received.ends_with("\r\n\r\nbody"));
+  }
+}
+
+TEST_CASE("gateway_responseWithoutLength_isWholeOnlyIfItsConnectionEndsCleanly")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\n" +
+                           kSignatureField +
+                           "Content-Type: text/event-stream\r\n\r\n";
+  const std::string events = head + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const auto receive = [](const std::string& aText, std::string_view aPath) {
+    GatewayFixture fixture({ { aText } });
+    return fixture.request("POST", aPath, "", "prompt");
+  };
+  CHECK(receive(events, "/events/").ends_with("0\r\n\r\n"));
+  CHECK_FALSE(receive(events + "id: 3\nda", "/events/").ends_with("0\r\n\r\n"));
+  CHECK_FALSE(receive(events + "$RESET", "/events/").ends_with("0\r\n\r\n"));
+  CHECK(receive(head + "body", "/once/").ends_with("\r\n\r\nbody"));
+  CHECK(statusOf(receive(head + "body$RESET", "/once/")) == 502);
+}
