Agent: never pass an engine's error on as the rest of a stream

The caller found the error's text as the next words, followed by [DONE].

Cause: an agent passes any answer that is not 200 on as head and body. Its parts are numbered on from those that the caller has, so the entry delivered them.

If parts of the answer are out already, such an answer ends the attempt as failed; the entry goes on elsewhere or ends the stream with an error event.

--- a/agent/src/runner.cpp
+++ b/agent/src/runner.cpp
@@ -241,6 +241,11 @@
   if (aAttempt->order.engine && head.result() == bhttp::status::ok) {
     co_return co_await relayTokens(aAttempt, aRun);
   }
+  if (aAttempt->stream->parts() > 0) {
+    // The client has the beginning of a stream; an error is not its rest.
+    co_return Failure{ .error = Error::ServerFailed,
+                       .verdict = Verdict::MayHaveRun };
+  }
   wire::PartT part;
   part.kind = wire::PartKind::Head;
   part.status = head.result_int();
--- a/apps/tests/live.sh
+++ b/apps/tests/live.sh
@@ -90,6 +90,21 @@
   [ "$(words undisturbed)" = "$(words disturbed)" ] || fail "the answers differ"
 }
 
+# An engine dies in the middle of a stream and the other one answers the
+# continuation with an error, which is neither part of the stream nor its end.
+error_after_broken_stream() {
+  fixture 1
+  stream entry-1 "[no continuation]" 100 broken
+  await 10 some_engine_runs
+  sleep 0.3
+  send_signal "engine-$(server_of_stream)" KILL
+  await 30 finished broken
+  [ "$(words broken | wc -l)" -gt 0 ] || fail "the stream had not begun"
+  ! grep -q "the engine's failure" "$work/broken" || fail "the error stands in the stream"
+  ! grep -q DONE "$work/broken" || fail "the stream ended as if it were complete"
+  grep -q '^event: error' "$work/broken" || fail "no error: $(tail -c 300 "$work/broken")"
+}
+
 # An agent freezes and wakes: its connection is found silent and replaced,
 # and the stream goes on without loss or repeat.
 freeze_agent() {
--- a/standins/src/engine_server.cpp
+++ b/standins/src/engine_server.cpp
@@ -190,6 +190,12 @@
   if (const json::value* continuation = fields->if_contains("continuation")) {
     prior = continuation->as_object().at("tokens").to_number<int>();
   }
+  if (prior > 0 && prompt.find("[no continuation]") != std::string::npos) {
+    http::Response response{ bhttp::status::internal_server_error, 11 };
+    response.body() = "the engine's failure";
+    co_await aSession.write(std::move(response));
+    co_return;
+  }
   const int total = lengthOf(prompt, maxTokens);
   const std::uint64_t seed = hash64(prompt);
   const std::uint64_t id = ++mNext;
