Quarantine: judge the suspects of one message together

Callers could see: a sound request refused for a minute at gateways other than the one that saw the crashes.

Cause: records were merged and judged one by one. Of two requests in progress at the same two crashes the first one merged looked like the only one, and was refused; the daemon that saw the crashes itself refuses neither.

--- a/agent/src/agent.cpp
+++ b/agent/src/agent.cpp
@@ -186,11 +186,12 @@
                          .resumable = aOrder.engine };
   if (aOrder.suspect) {
     // The entry may know of a crash before the news of it comes here.
-    mQuarantine.merge(
-      { .fingerprint = aOrder.fingerprint,
-        .crashes = 1,
-        .remaining = seconds(mNode.store().policy().quarantineSeconds) },
-      now);
+    const policy::SuspicionRecord suspect{
+      .fingerprint = aOrder.fingerprint,
+      .crashes = 1,
+      .remaining = seconds(mNode.store().policy().quarantineSeconds)
+    };
+    mQuarantine.merge({ &suspect, 1 }, now);
   }
   const auto suspicion = mQuarantine.suspicion(aOrder.fingerprint, now);
   work.suspect = aOrder.suspect || suspicion == policy::Suspicion::Suspect;
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -100,10 +100,12 @@
     return mEntries.erase(aFingerprint) > 0;
   }
 
-  /// Merges a record from another daemon: joins the crashes and keeps the
-  /// stronger suspicion, or exonerates.
-  /// @return True if the record changed the local state.
-  bool merge(const SuspicionRecord& aRecord, Instant aNow);
+  /// Merges records from another daemon: joins the crashes and keeps the
+  /// stronger suspicion, or exonerates. Records of the same crashes belong into
+  /// one call, since it shows who shares them.
+  /// @return The records that changed the local state.
+  std::vector<SuspicionRecord> merge(std::span<const SuspicionRecord> aRecords,
+                                     Instant aNow);
 
   /// Returns all current suspicions and drops expired ones. O(n).
   std::vector<SuspicionRecord> records(Instant aNow);
@@ -123,6 +125,11 @@
     std::uint8_t specificity = kWholeRequest;
     Instant until;
   };
+  /// Merges a record, but for the question of who is the cause. Returns whether
+  /// it changed the local state.
+  bool join(const SuspicionRecord& aRecord, Instant aNow);
+  /// Refuses those of the suspects whose crashes name them as their cause.
+  void refuseCauses(std::span<const std::uint64_t> aSuspects);
   /// Returns the entry of a request for an update, or null at the capacity.
   Entry* entryFor(std::uint64_t aFingerprint, Instant aNow);
   /// True if the crashes of an entry name it as their cause.
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -141,18 +141,25 @@
   }
   std::sort(suspects.begin(), suspects.end());
   suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-  // Only after all of them were added is it known who shares two crashes.
+  refuseCauses(suspects);
   std::vector<SuspicionRecord> changed;
   for (const std::uint64_t fingerprint : suspects) {
-    Entry& entry = mEntries[fingerprint];
-    if (isCause(fingerprint, entry)) {
-      entry.crashes = std::max(entry.crashes, kCrashesToRefuse);
-    }
-    changed.push_back(record(fingerprint, entry, aNow));
+    changed.push_back(record(fingerprint, mEntries[fingerprint], aNow));
   }
   return changed;
 }
 
+void
+Quarantine::refuseCauses(std::span<const std::uint64_t> aSuspects)
+{
+  for (const std::uint64_t fingerprint : aSuspects) {
+    const auto found = mEntries.find(fingerprint);
+    if (found != mEntries.end() && isCause(fingerprint, found->second)) {
+      found->second.crashes = std::max(found->second.crashes, kCrashesToRefuse);
+    }
+  }
+}
+
 bool
 Quarantine::clearSuspect(std::uint64_t aFingerprint)
 {
@@ -164,8 +171,23 @@
   return true;
 }
 
+std::vector<SuspicionRecord>
+Quarantine::merge(std::span<const SuspicionRecord> aRecords, Instant aNow)
+{
+  std::vector<SuspicionRecord> changed;
+  std::vector<std::uint64_t> suspects;
+  for (const SuspicionRecord& each : aRecords) {
+    if (join(each, aNow)) {
+      changed.push_back(each);
+      suspects.push_back(each.fingerprint);
+    }
+  }
+  refuseCauses(suspects);
+  return changed;
+}
+
 bool
-Quarantine::merge(const SuspicionRecord& aRecord, Instant aNow)
+Quarantine::join(const SuspicionRecord& aRecord, Instant aNow)
 {
   if (aRecord.remaining <= Duration(0)) {
     return false;
@@ -186,9 +208,6 @@
   }
   entry->crashes = std::max(entry->crashes, aRecord.crashes);
   entry->specificity = aRecord.specificity;
-  if (isCause(aRecord.fingerprint, *entry)) {
-    entry->crashes = std::max(entry->crashes, kCrashesToRefuse);
-  }
   entry->until = std::max(entry->until,
                           aNow + std::min(aRecord.remaining, mRefusalDuration));
   return true;
--- a/policy/tests/unit_sharing.cpp
+++ b/policy/tests/unit_sharing.cpp
@@ -260,8 +260,8 @@
   Quarantine second(seconds(60));
   const auto ofFirst = first.recordCrash(1, crashing, now);
   const auto ofSecond = second.recordCrash(2, crashing, now);
-  REQUIRE(first.merge(ofSecond.front(), now));
-  REQUIRE(second.merge(ofFirst.front(), now));
+  REQUIRE(first.merge(ofSecond, now).size() == 1);
+  REQUIRE(second.merge(ofFirst, now).size() == 1);
   CHECK(first.suspicion(7, now) == Suspicion::Refused);
   CHECK(second.suspicion(7, now) == Suspicion::Refused);
 }
@@ -273,11 +273,13 @@
   Quarantine first(seconds(60));
   Quarantine second(seconds(60));
   first.recordCrash(1, sound, now);
-  CHECK_FALSE(first.merge(second.recordCrash(1, sound, now).front(), now));
+  CHECK(first.merge(second.recordCrash(1, sound, now), now).empty());
   CHECK(first.suspicion(7, now) == Suspicion::Suspect);
   SECTION("served elsewhere, it is no longer one")
   {
-    CHECK(first.merge({ .fingerprint = 7, .remaining = seconds(60) }, now));
+    const SuspicionRecord served[]{ { .fingerprint = 7,
+                                      .remaining = seconds(60) } };
+    CHECK(first.merge(served, now).size() == 1);
     CHECK(first.suspicion(7, now) == Suspicion::None);
   }
 }
@@ -347,8 +349,10 @@
   }
   SECTION("a record from another daemon has the same effect")
   {
-    quarantine.merge(
-      { .fingerprint = 3, .crashes = 2, .remaining = seconds(5) }, now);
+    const SuspicionRecord refused[]{
+      { .fingerprint = 3, .crashes = 2, .remaining = seconds(5) }
+    };
+    quarantine.merge(refused, now);
     CHECK(quarantine.suspicion(3, now) == Suspicion::Refused);
   }
 }
--- a/wire/src/suspicion.cpp
+++ b/wire/src/suspicion.cpp
@@ -26,7 +26,7 @@
                 const SuspectsT& aMessage,
                 Instant aNow)
 {
-  std::vector<policy::SuspicionRecord> changes;
+  std::vector<policy::SuspicionRecord> records;
   const std::size_t count = std::min({ aMessage.fingerprints.size(),
                                        aMessage.crashes.size(),
                                        aMessage.remaining_us.size() });
@@ -48,11 +48,9 @@
     for (; firstCrash < lastCrash; ++firstCrash) {
       record.crashIds.push_back(aMessage.crash_ids[firstCrash]);
     }
-    if (aQuarantine.merge(record, aNow)) {
-      changes.push_back(std::move(record));
-    }
+    records.push_back(std::move(record));
   }
-  return changes;
+  return aQuarantine.merge(records, aNow);
 }
 
 } // namespace laburnum::wire
