Quarantine: after a refusal ends, one more crash renews it for longer

Cause: a refusal of 60 s was forgotten when it ended, so the same request had to crash two servers again at each fleet-wide expiry (class: evidence that expires all at once). Ruled out: a longer refusal alone, which holds wrong suspicions as long.

For as long as it lasted, an ended refusal is remembered: a single crash renews it at once and for ten times as long, an hour at most; a request that ends without a crash clears it. Other daemons take the renewal over.

quarantine_refusalExpires_oneCrashRefusesAgainForLonger failed before (no suspicion at the end of the refusal).

--- a/agent/src/runner.cpp
+++ b/agent/src/runner.cpp
@@ -168,7 +168,7 @@
   mScheduler.recordEnd(aAttempt->id, now);
   mTable.end(aAttempt->id, aState, now);
   if (aState == policy::AttemptState::Finished) {
-    mQuarantine.clearSuspect(aAttempt->order.fingerprint);
+    mQuarantine.clearSuspect(aAttempt->order.fingerprint, now);
   }
   ++mNode.metrics().counter("laburnum_attempts_ended_total");
   flush(*aAttempt);
--- a/bench/src/desk_world.cpp
+++ b/bench/src/desk_world.cpp
@@ -361,7 +361,7 @@
   entry.router->recordEnd(aServer, false, mQueue.now());
   entry.router->updateLoad(aServer, server.scheduler->load());
   entry.predictor.observe(query(*job.arrival), job.produced);
-  entry.quarantine.clearSuspect(job.fingerprint);
+  entry.quarantine.clearSuspect(job.fingerprint, mQueue.now());
   job.over = true;
   Outcome& outcome = mOutcomes[aJob];
   outcome.done = true;
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -81,7 +81,7 @@
   /// Called when a request ended without a crash.
   void reportEnded(const policy::RequestContent& aRequest)
   {
-    if (quarantine.clearSuspect(aRequest.fingerprint)) {
+    if (quarantine.clearSuspect(aRequest.fingerprint, loop.now())) {
       shareExonerated({ aRequest.fingerprint });
     }
   }
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -13,8 +13,9 @@
 enum class Suspicion : std::uint8_t
 {
   None,
-  Suspect, ///< In progress at one crash; may be retried, but not concurrently
-           ///< with another suspect on the same server.
+  Suspect, ///< In progress at one crash, or refused until lately; may be
+           ///< retried, but not concurrently with another suspect on the same
+           ///< server.
   Refused  ///< Identified by a second crash; refused everywhere for a time.
 };
 
@@ -60,6 +61,9 @@
 ///
 /// Which daemon observed which crash makes no difference once they have
 /// exchanged their records.
+///
+/// A refusal ends after a time, since the server software may have been mended.
+/// For as long again, a single crash renews it, for ten times as long.
 /// Not thread-safe; timestamps must not decrease between calls.
 class Quarantine
 {
@@ -77,8 +81,8 @@
   /// Returns the current suspicion of a request.
   Suspicion suspicion(std::uint64_t aFingerprint, Instant aNow) const;
 
-  /// Returns how long the suspicion of a request lasts; 0 without one.
-  Duration remaining(std::uint64_t aFingerprint, Instant aNow) const;
+  /// Returns for how long a request is refused; 0 if it is not.
+  Duration remainingRefusal(std::uint64_t aFingerprint, Instant aNow) const;
 
   /// Records a crash of a backend server.
   /// @param aInProgress The requests it was running.
@@ -91,7 +95,7 @@
   /// Clears a suspect whose request ended without a crash. A refused request
   /// stays refused.
   /// @return True if the request was a suspect.
-  bool clearSuspect(std::uint64_t aFingerprint);
+  bool clearSuspect(std::uint64_t aFingerprint, Instant aNow);
 
   /// Clears a request or part that was served, even if it is refused.
   /// @return True if it was suspected.
@@ -123,8 +127,13 @@
     std::uint8_t crashes = 0;
     std::vector<CrashId> crashIds;
     std::uint8_t specificity = kWholeRequest;
-    Instant until;
+    Duration term{ 0 }; ///< Of the suspicion or refusal.
+    Instant until{};    ///< End of the term.
   };
+  /// True while a refusal has ended and a single crash renews it.
+  static bool isOnProbation(const Entry& aEntry, Instant aNow);
+  /// True once a suspicion has no effect any more.
+  static bool isExpired(const Entry& aEntry, Instant aNow);
   /// Merges a record, but for the question of who is the cause. Returns whether
   /// it changed the local state.
   bool join(const SuspicionRecord& aRecord, Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -11,6 +11,10 @@
 /// progress at all of them.
 constexpr std::size_t kCrashesToRefuseAnyway = 3;
 
+/// Factor by which each renewal of a refusal is longer than the one before.
+constexpr int kTermGrowth = 10;
+constexpr Duration kMaxTerm = seconds(3600);
+
 /// Adds a crash to a list. Returns whether it was not there yet and is needed.
 bool
 addCrash(std::vector<CrashId>& aCrashIds, CrashId aCrash)
@@ -40,20 +44,34 @@
 Quarantine::suspicion(std::uint64_t aFingerprint, Instant aNow) const
 {
   const auto found = mEntries.find(aFingerprint);
-  if (found == mEntries.end() || found->second.until <= aNow) {
+  if (found == mEntries.end() || isExpired(found->second, aNow)) {
     return Suspicion::None;
   }
-  return found->second.crashes >= kCrashesToRefuse ? Suspicion::Refused
-                                                   : Suspicion::Suspect;
+  return found->second.crashes >= kCrashesToRefuse &&
+             !isOnProbation(found->second, aNow)
+           ? Suspicion::Refused
+           : Suspicion::Suspect;
 }
 
 Duration
-Quarantine::remaining(std::uint64_t aFingerprint, Instant aNow) const
+Quarantine::remainingRefusal(std::uint64_t aFingerprint, Instant aNow) const
 {
-  const auto found = mEntries.find(aFingerprint);
-  return found == mEntries.end()
-           ? Duration(0)
-           : std::max<Duration>(Duration(0), found->second.until - aNow);
+  return suspicion(aFingerprint, aNow) == Suspicion::Refused
+           ? mEntries.at(aFingerprint).until - aNow
+           : Duration(0);
+}
+
+bool
+Quarantine::isOnProbation(const Entry& aEntry, Instant aNow)
+{
+  return aEntry.crashes >= kCrashesToRefuse && aEntry.until <= aNow &&
+         aNow < aEntry.until + aEntry.term;
+}
+
+bool
+Quarantine::isExpired(const Entry& aEntry, Instant aNow)
+{
+  return aEntry.until <= aNow && !isOnProbation(aEntry, aNow);
 }
 
 Quarantine::Entry*
@@ -63,7 +81,7 @@
   if (found == mEntries.end()) {
     return mEntries.size() >= mCapacity ? nullptr : &mEntries[aFingerprint];
   }
-  if (found->second.until <= aNow) {
+  if (isExpired(found->second, aNow)) {
     found->second = {};
   }
   return &found->second;
@@ -101,7 +119,11 @@
   addCrash(entry->crashIds, aCrash);
   entry->crashes = std::max<std::uint8_t>(entry->crashes, 1);
   entry->specificity = aSpecificity;
-  entry->until = aNow + mRefusalDuration;
+  entry->term = isOnProbation(*entry, aNow)
+                  ? std::max(mRefusalDuration,
+                             std::min(kTermGrowth * entry->term, kMaxTerm))
+                  : std::max(entry->term, mRefusalDuration);
+  entry->until = aNow + entry->term;
   return true;
 }
 
@@ -161,14 +183,10 @@
 }
 
 bool
-Quarantine::clearSuspect(std::uint64_t aFingerprint)
+Quarantine::clearSuspect(std::uint64_t aFingerprint, Instant aNow)
 {
-  const auto found = mEntries.find(aFingerprint);
-  if (found == mEntries.end() || found->second.crashes >= kCrashesToRefuse) {
-    return false;
-  }
-  mEntries.erase(found);
-  return true;
+  return suspicion(aFingerprint, aNow) != Suspicion::Refused &&
+         mEntries.erase(aFingerprint) > 0;
 }
 
 std::vector<SuspicionRecord>
@@ -199,7 +217,9 @@
   if (entry == nullptr) {
     return false;
   }
-  bool isNew = aRecord.crashes > entry->crashes;
+  bool isNew =
+    aRecord.crashes > entry->crashes ||
+    (aRecord.crashes >= kCrashesToRefuse && isOnProbation(*entry, aNow));
   for (const CrashId crash : aRecord.crashIds) {
     isNew = addCrash(entry->crashIds, crash) || isNew;
   }
@@ -208,19 +228,24 @@
   }
   entry->crashes = std::max(entry->crashes, aRecord.crashes);
   entry->specificity = aRecord.specificity;
-  entry->until = std::max(entry->until,
-                          aNow + std::min(aRecord.remaining, mRefusalDuration));
+  const Duration remaining =
+    std::min(aRecord.remaining, std::max(mRefusalDuration, kMaxTerm));
+  entry->term = std::max({ entry->term, mRefusalDuration, remaining });
+  entry->until = std::max(entry->until, aNow + remaining);
   return true;
 }
 
 std::vector<SuspicionRecord>
 Quarantine::records(Instant aNow)
 {
-  std::erase_if(
-    mEntries, [&](const auto& aEntry) { return aEntry.second.until <= aNow; });
+  std::erase_if(mEntries, [&](const auto& aEntry) {
+    return isExpired(aEntry.second, aNow);
+  });
   std::vector<SuspicionRecord> all;
   for (const auto& [fingerprint, entry] : mEntries) {
-    all.push_back(record(fingerprint, entry, aNow));
+    if (entry.until > aNow) {
+      all.push_back(record(fingerprint, entry, aNow));
+    }
   }
   return all;
 }
--- a/policy/tests/unit_quarantine.cpp
+++ b/policy/tests/unit_quarantine.cpp
@@ -24,3 +24,44 @@
     CHECK(quarantine->suspicion(2, kStart) == Suspicion::Suspect);
   }
 }
+
+TEST_CASE("quarantine_refusalExpires_oneCrashRefusesAgainForLonger")
+{
+  Quarantine observer(kTerm);
+  Quarantine other(kTerm);
+  const RequestContent crashing[]{ { 1 } };
+  for (const CrashId crash : { 1, 2, 3 }) {
+    other.merge(observer.recordCrash(crash, crashing, kStart), kStart);
+  }
+  REQUIRE(other.suspicion(1, kStart + kTerm - Duration(1)) ==
+          Suspicion::Refused);
+
+  SECTION("it is tried again and crashes a server")
+  {
+    const Instant later = kStart + kTerm + seconds(1);
+    CHECK(observer.suspicion(1, later) == Suspicion::Suspect);
+    CHECK(other.merge(observer.recordCrash(4, crashing, later), later).size() ==
+          1);
+    for (const Quarantine* quarantine : { &observer, &other }) {
+      CHECK(quarantine->suspicion(1, later) == Suspicion::Refused);
+      CHECK(quarantine->suspicion(1, later + 9 * kTerm) == Suspicion::Refused);
+      CHECK(quarantine->suspicion(1, later + seconds(7200)) == Suspicion::None);
+    }
+  }
+  SECTION("it is tried again and does not")
+  {
+    const Instant later = kStart + kTerm;
+    CHECK_FALSE(observer.clearSuspect(1, later - Duration(1)));
+    CHECK(observer.clearSuspect(1, later));
+    observer.recordCrash(4, crashing, later);
+    CHECK(observer.suspicion(1, later) == Suspicion::Suspect);
+  }
+  SECTION("it is not tried again")
+  {
+    const Instant later = kStart + 2 * kTerm;
+    CHECK(observer.suspicion(1, later) == Suspicion::None);
+    CHECK(observer.records(later).empty());
+    observer.recordCrash(4, crashing, later);
+    CHECK(observer.suspicion(1, later) == Suspicion::Suspect);
+  }
+}
