Quarantine: refuse by all evidence that is known, whatever its order

Cause: of one crash each gateway sees the requests that went through it. The first one to record the second crash knew only of a sound request, refused the part that it shares with the crashing ones, and told the others. A refusal was never taken back, also when the next record, a fraction of a millisecond later, showed the part that explains both crashes (class: a verdict that depends on the order of messages, and is latched).

Verdicts are now a function of the crashes that are known, computed anew with each record; the word of others counts only without evidence. Eight crashes are remembered, so that explanations stay comparable, and a repeated request explains a part's crashes only if it explains all of them.

quarantine_crashSeenByTwoDaemons_noneRefusesThePartOfSoundRequests failed before at three daemons.

--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -124,11 +124,16 @@
 private:
   struct Entry
   {
-    std::uint8_t crashes = 0;
     std::vector<CrashId> crashIds;
     std::uint8_t specificity = kWholeRequest;
+    bool isRefused = false; ///< See `judge`.
+    /// A daemon of an earlier version, which sends no crashes, refuses it.
+    bool isRefusedElsewhere = false;
     Duration term{ 0 }; ///< Of the suspicion or refusal.
     Instant until{};    ///< End of the term.
+
+    /// Returns whether the crash was not known yet.
+    bool addCrash(CrashId aCrash);
   };
   /// True while a refusal has ended and a single crash renews it.
   static bool isOnProbation(const Entry& aEntry, Instant aNow);
@@ -137,17 +142,16 @@
   /// Merges a record, but for the question of who is the cause. Returns whether
   /// it changed the local state.
   bool join(const SuspicionRecord& aRecord, Instant aNow);
-  /// Refuses those of the suspects whose crashes name them as their cause.
-  void refuseCauses(std::span<const std::uint64_t> aSuspects);
+  /// Refuses exactly those that are the cause by all that is known, so that the
+  /// order in which records arrive makes no difference.
+  void judge();
   /// Returns the entry of a request for an update, or null at the capacity.
   Entry* entryFor(std::uint64_t aFingerprint, Instant aNow);
-  /// True if the crashes of an entry name it as their cause.
-  bool isCause(std::uint64_t aFingerprint, const Entry& aEntry) const;
-  /// Adds a crash to a suspicion. Returns false at the capacity.
-  bool addSuspect(std::uint64_t aFingerprint,
-                  std::uint8_t aSpecificity,
-                  CrashId aCrash,
-                  Instant aNow);
+  /// True if the cause of the crashes of `aEntry` is rather the other one, or
+  /// may as well be.
+  static bool isBetterExplained(const Entry& aEntry, const Entry& aOther);
+  /// Adds a crash to a suspicion. Returns null at the capacity.
+  Entry* addSuspect(std::uint64_t aFingerprint, CrashId aCrash, Instant aNow);
   static SuspicionRecord record(std::uint64_t aFingerprint,
                                 const Entry& aEntry,
                                 Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -10,24 +10,13 @@
 /// At so many crashes it does not matter whether another request was in
 /// progress at all of them.
 constexpr std::size_t kCrashesToRefuseAnyway = 3;
+/// Crashes that are remembered of a suspect.
+constexpr std::size_t kMaxCrashes = 8;
 
 /// Factor by which each renewal of a refusal is longer than the one before.
 constexpr int kTermGrowth = 10;
 constexpr Duration kMaxTerm = seconds(3600);
 
-/// Adds a crash to a list. Returns whether it was not there yet and is needed.
-bool
-addCrash(std::vector<CrashId>& aCrashIds, CrashId aCrash)
-{
-  if (aCrashIds.size() >= kCrashesToRefuseAnyway ||
-      std::find(aCrashIds.begin(), aCrashIds.end(), aCrash) !=
-        aCrashIds.end()) {
-    return false;
-  }
-  aCrashIds.push_back(aCrash);
-  return true;
-}
-
 std::size_t
 countCommon(const std::vector<CrashId>& aLeft,
             const std::vector<CrashId>& aRight)
@@ -47,8 +36,7 @@
   if (found == mEntries.end() || isExpired(found->second, aNow)) {
     return Suspicion::None;
   }
-  return found->second.crashes >= kCrashesToRefuse &&
-             !isOnProbation(found->second, aNow)
+  return found->second.isRefused && !isOnProbation(found->second, aNow)
            ? Suspicion::Refused
            : Suspicion::Suspect;
 }
@@ -61,10 +49,21 @@
            : Duration(0);
 }
 
+bool
+Quarantine::Entry::addCrash(CrashId aCrash)
+{
+  if (crashIds.size() >= kMaxCrashes ||
+      std::find(crashIds.begin(), crashIds.end(), aCrash) != crashIds.end()) {
+    return false;
+  }
+  crashIds.push_back(aCrash);
+  return true;
+}
+
 bool
 Quarantine::isOnProbation(const Entry& aEntry, Instant aNow)
 {
-  return aEntry.crashes >= kCrashesToRefuse && aEntry.until <= aNow &&
+  return aEntry.isRefused && aEntry.until <= aNow &&
          aNow < aEntry.until + aEntry.term;
 }
 
@@ -88,43 +87,50 @@
 }
 
 bool
-Quarantine::isCause(std::uint64_t aFingerprint, const Entry& aEntry) const
+Quarantine::isBetterExplained(const Entry& aEntry, const Entry& aOther)
 {
-  if (aEntry.crashIds.size() < kCrashesToRefuse) {
+  if (countCommon(aOther.crashIds, aEntry.crashIds) < aEntry.crashIds.size()) {
     return false;
   }
-  return std::none_of(
-    mEntries.begin(), mEntries.end(), [&](const auto& aOther) {
-      const auto& [fingerprint, other] = aOther;
-      if (fingerprint == aFingerprint ||
-          countCommon(other.crashIds, aEntry.crashIds) < kCrashesToRefuse) {
-        return false;
-      }
-      return other.specificity > aEntry.specificity ||
-             (other.specificity == aEntry.specificity &&
-              aEntry.crashIds.size() < kCrashesToRefuseAnyway);
-    });
+  if (aOther.specificity != aEntry.specificity) {
+    return aOther.specificity > aEntry.specificity;
+  }
+  return aEntry.crashIds.size() < kCrashesToRefuseAnyway;
 }
 
-bool
-Quarantine::addSuspect(std::uint64_t aFingerprint,
-                       std::uint8_t aSpecificity,
-                       CrashId aCrash,
-                       Instant aNow)
+void
+Quarantine::judge()
+{
+  std::vector<Entry*> candidates;
+  for (auto& [fingerprint, entry] : mEntries) {
+    entry.isRefused = entry.isRefusedElsewhere;
+    if (entry.crashIds.size() >= kCrashesToRefuse) {
+      candidates.push_back(&entry);
+    }
+  }
+  for (Entry* entry : candidates) {
+    const bool isCause = std::none_of(
+      candidates.begin(), candidates.end(), [entry](const Entry* aOther) {
+        return aOther != entry && isBetterExplained(*entry, *aOther);
+      });
+    entry->isRefused = entry->isRefused || isCause;
+  }
+}
+
+Quarantine::Entry*
+Quarantine::addSuspect(std::uint64_t aFingerprint, CrashId aCrash, Instant aNow)
 {
   Entry* entry = entryFor(aFingerprint, aNow);
   if (entry == nullptr) {
-    return false;
+    return nullptr;
   }
-  addCrash(entry->crashIds, aCrash);
-  entry->crashes = std::max<std::uint8_t>(entry->crashes, 1);
-  entry->specificity = aSpecificity;
+  entry->addCrash(aCrash);
   entry->term = isOnProbation(*entry, aNow)
                   ? std::max(mRefusalDuration,
                              std::min(kTermGrowth * entry->term, kMaxTerm))
                   : std::max(entry->term, mRefusalDuration);
   entry->until = aNow + entry->term;
-  return true;
+  return entry;
 }
 
 SuspicionRecord
@@ -133,7 +139,7 @@
                    Instant aNow)
 {
   return { .fingerprint = aFingerprint,
-           .crashes = aEntry.crashes,
+           .crashes = aEntry.isRefused ? kCrashesToRefuse : std::uint8_t{ 1 },
            .remaining = aEntry.until - aNow,
            .crashIds = aEntry.crashIds,
            .specificity = aEntry.specificity };
@@ -146,10 +152,8 @@
 {
   std::vector<std::uint64_t> suspects;
   const auto add = [&](std::uint64_t aFingerprint, std::size_t aSpecificity) {
-    if (addSuspect(aFingerprint,
-                   static_cast<std::uint8_t>(aSpecificity),
-                   aCrash,
-                   aNow)) {
+    if (Entry* entry = addSuspect(aFingerprint, aCrash, aNow)) {
+      entry->specificity = static_cast<std::uint8_t>(aSpecificity);
       suspects.push_back(aFingerprint);
     }
   };
@@ -163,7 +167,7 @@
   }
   std::sort(suspects.begin(), suspects.end());
   suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-  refuseCauses(suspects);
+  judge();
   std::vector<SuspicionRecord> changed;
   for (const std::uint64_t fingerprint : suspects) {
     changed.push_back(record(fingerprint, mEntries[fingerprint], aNow));
@@ -171,17 +175,6 @@
   return changed;
 }
 
-void
-Quarantine::refuseCauses(std::span<const std::uint64_t> aSuspects)
-{
-  for (const std::uint64_t fingerprint : aSuspects) {
-    const auto found = mEntries.find(fingerprint);
-    if (found != mEntries.end() && isCause(fingerprint, found->second)) {
-      found->second.crashes = std::max(found->second.crashes, kCrashesToRefuse);
-    }
-  }
-}
-
 bool
 Quarantine::clearSuspect(std::uint64_t aFingerprint, Instant aNow)
 {
@@ -193,14 +186,12 @@
 Quarantine::merge(std::span<const SuspicionRecord> aRecords, Instant aNow)
 {
   std::vector<SuspicionRecord> changed;
-  std::vector<std::uint64_t> suspects;
   for (const SuspicionRecord& each : aRecords) {
     if (join(each, aNow)) {
       changed.push_back(each);
-      suspects.push_back(each.fingerprint);
     }
   }
-  refuseCauses(suspects);
+  judge();
   return changed;
 }
 
@@ -213,20 +204,22 @@
   if (aRecord.crashes == 0) {
     return exonerate(aRecord.fingerprint);
   }
+  const bool isKnown = suspicion(aRecord.fingerprint, aNow) != Suspicion::None;
   Entry* entry = entryFor(aRecord.fingerprint, aNow);
   if (entry == nullptr) {
     return false;
   }
-  bool isNew =
-    aRecord.crashes > entry->crashes ||
-    (aRecord.crashes >= kCrashesToRefuse && isOnProbation(*entry, aNow));
+  const bool isRefusal = aRecord.crashes >= kCrashesToRefuse;
+  const bool hasNoEvidence = isRefusal && aRecord.crashIds.empty();
+  bool isNew = !isKnown || (isRefusal && isOnProbation(*entry, aNow)) ||
+               (hasNoEvidence && !entry->isRefusedElsewhere);
   for (const CrashId crash : aRecord.crashIds) {
-    isNew = addCrash(entry->crashIds, crash) || isNew;
+    isNew = entry->addCrash(crash) || isNew;
   }
+  entry->isRefusedElsewhere = entry->isRefusedElsewhere || hasNoEvidence;
   if (!isNew) {
     return false;
   }
-  entry->crashes = std::max(entry->crashes, aRecord.crashes);
   entry->specificity = aRecord.specificity;
   const Duration remaining =
     std::min(aRecord.remaining, std::max(mRefusalDuration, kMaxTerm));
--- a/policy/tests/unit_quarantine.cpp
+++ b/policy/tests/unit_quarantine.cpp
@@ -25,6 +25,31 @@
   }
 }
 
+TEST_CASE("quarantine_crashSeenByTwoDaemons_noneRefusesThePartOfSoundRequests")
+{
+  // One of them knows only of a sound request that was in progress.
+  constexpr std::uint64_t kShared = 100;
+  constexpr std::uint64_t kCrashing = 101;
+  const RequestContent first[]{ { 1, { kShared, 102 } },
+                                { 2, { kShared, kCrashing } } };
+  const RequestContent sound[]{ { 3, { kShared } } };
+  const RequestContent crashing[]{ { 4, { kShared, kCrashing } } };
+  Quarantine left(kTerm);
+  Quarantine right(kTerm);
+  Quarantine late(kTerm);
+  right.merge(left.recordCrash(1, first, kStart), kStart);
+  const auto ofLeft = left.recordCrash(2, sound, kStart);
+  const auto ofRight = right.recordCrash(2, crashing, kStart);
+  left.merge(ofRight, kStart);
+  right.merge(ofLeft, kStart);
+  late.merge(left.records(kStart), kStart);
+  late.merge(right.records(kStart), kStart);
+  for (const Quarantine* quarantine : { &left, &right, &late }) {
+    CHECK(quarantine->suspicion(kCrashing, kStart) == Suspicion::Refused);
+    CHECK(quarantine->suspicion(kShared, kStart) == Suspicion::Suspect);
+  }
+}
+
 TEST_CASE("quarantine_refusalExpires_oneCrashRefusesAgainForLonger")
 {
   Quarantine observer(kTerm);
