Quarantine: suspect also what was served before, if it keeps crashing servers

Callers could see: server after server end by prompts with one part, without end, if that part had been served well within the last half minute; as after a release with a fault that an often used part brings out.

Cause: parts that any gateway had served within 30 s were taken off the list of suspects, also where all of that was before the crashes (class: old evidence overrides new one). The memory was meant for servers that crash for another reason while many requests share a part.

Now the time of the last service counts. Served after a crash: exonerated, as before, now also if the crash is recognized seconds later. Served before: refused only after three crashes over at least four seconds, without service in between, and if nothing that was not served shares two of them.

--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -55,26 +55,32 @@
   /// progress when it was lost become suspected of crashing servers.
   void reportServerGone(const std::string& aServerId, Instant aNow)
   {
-    for (auto& [crash, suspects] :
-         crashDetector.takeSuspects(aServerId, aNow)) {
+    for (auto& [id, crash] : crashDetector.takeCrashes(aServerId, aNow)) {
+      const auto wasServed = [this](std::uint64_t aPart) {
+        return servedParts.lastServed(aPart).has_value();
+      };
       boost::json::array names;
       boost::json::array parts;
-      for (policy::RequestContent& request : suspects) {
-        std::erase_if(request.parts, [this](std::uint64_t aPart) {
-          return servedParts.contains(aPart);
+      boost::json::array served;
+      for (policy::RequestContent& request : crash.suspects) {
+        std::erase_if(request.parts, [this, &crash](std::uint64_t aPart) {
+          return servedParts.lastServed(aPart) > crash.at;
         });
         names.emplace_back(fingerprintText(request.fingerprint));
         for (const std::uint64_t part : request.parts) {
-          parts.emplace_back(fingerprintText(part));
+          (wasServed(part) ? served : parts)
+            .emplace_back(fingerprintText(part));
         }
       }
       log(LogLevel::Warn,
           "server_crashed",
           { { "server", aServerId },
-            { "in_progress", suspects.size() },
+            { "in_progress", crash.suspects.size() },
             { "suspects", std::move(names) },
-            { "parts", std::move(parts) } });
-      shareSuspicions(quarantine.recordCrash(crash, suspects, aNow));
+            { "parts", std::move(parts) },
+            { "served_parts", std::move(served) } });
+      shareSuspicions(quarantine.recordCrash(
+        id, crash.suspects, aNow, wasServed, aNow - crash.at));
     }
   }
 
@@ -100,20 +106,31 @@
     shareExonerated(exonerated);
   }
 
-  /// Merges suspicions from other gateways, and exonerates the parts that this
-  /// one has served. Returns what was new.
+  /// Merges suspicions from other gateways, and tells them of the parts that
+  /// this one has served. Returns what was new.
   std::vector<policy::SuspicionRecord> mergeSuspicions(
     const wire::SuspectsT& aMessage)
   {
-    auto changes = wire::mergeSuspicions(quarantine, aMessage, loop.now());
+    const Instant now = loop.now();
+    auto changes = wire::mergeSuspicions(quarantine, aMessage, now);
     std::vector<std::uint64_t> exonerated;
+    std::vector<policy::SuspicionRecord> served;
     for (const policy::SuspicionRecord& change : changes) {
-      if (change.crashes > 0 && servedParts.contains(change.fingerprint)) {
+      const auto servedAt = servedParts.lastServed(change.fingerprint);
+      if (change.crashes == 0 || !servedAt) {
+        continue;
+      }
+      if (*servedAt > now - change.sinceLastCrash) {
         quarantine.exonerate(change.fingerprint);
         exonerated.push_back(change.fingerprint);
+      } else if (auto record = quarantine.markServed(change.fingerprint, now)) {
+        served.push_back(std::move(*record));
       }
     }
     shareExonerated(exonerated);
+    if (!served.empty()) {
+      shareSuspicions(served);
+    }
     return changes;
   }
 
--- a/gateway/include/laburnum/gateway/crash_detector.hpp
+++ b/gateway/include/laburnum/gateway/crash_detector.hpp
@@ -32,12 +32,20 @@
   /// were not crashes and are discarded.
   void recordResponse(const std::string& aServerId, Instant aSentAt);
 
+  /// The end of a server process.
+  struct Crash
+  {
+    Instant at{}; ///< When the first request was lost.
+    std::vector<policy::RequestContent> suspects; ///< The requests lost.
+
+    bool operator==(const Crash&) const = default;
+  };
+
   /// Called when the server is unreachable or was removed. Returns the
   /// requests lost within the last 5 s, by process, and
   /// discards them, so that each is reported once.
-  std::map<policy::CrashId, std::vector<policy::RequestContent>> takeSuspects(
-    const std::string& aServerId,
-    Instant aNow);
+  std::map<policy::CrashId, Crash> takeCrashes(const std::string& aServerId,
+                                               Instant aNow);
 
 private:
   struct Loss
--- a/gateway/include/laburnum/gateway/served_parts.hpp
+++ b/gateway/include/laburnum/gateway/served_parts.hpp
@@ -3,13 +3,13 @@
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
-#include <unordered_set>
+#include <optional>
+#include <unordered_map>
 
 namespace laburnum::gateway {
 
-/// Remembers which parts of prompts were served lately. Such a part does not
-/// crash servers, however many of them crash while they run requests with it,
-/// as when servers end for another reason and many requests share a part.
+/// Remembers when parts of prompts were served last. A part that was served
+/// after a crash did not cause it.
 ///
 /// Performs no I/O. Thread safety: loop thread only.
 /// @pre Times passed to the methods never decrease.
@@ -17,19 +17,17 @@
 {
 public:
   /// Records that a response to a request with this part has begun.
-  /// @return True if the part was not remembered.
-  bool record(std::uint64_t aPart, Instant aNow);
+  void record(std::uint64_t aPart, Instant aNow);
 
-  /// True if the part was served within the last 30 s. Parts are forgotten
-  /// after 60 s, or earlier if there are many.
-  bool contains(std::uint64_t aPart) const
-  {
-    return mCurrent.contains(aPart) || mPrevious.contains(aPart);
-  }
+  /// Returns when the part was served last, if that is less than 30 s ago.
+  /// Parts are forgotten after 60 s, or earlier if there are many.
+  std::optional<Instant> lastServed(std::uint64_t aPart) const;
 
 private:
-  std::unordered_set<std::uint64_t> mCurrent;
-  std::unordered_set<std::uint64_t> mPrevious; ///< Of the period before.
+  using Times = std::unordered_map<std::uint64_t, Instant>;
+
+  Times mCurrent;
+  Times mPrevious; ///< Of the period before.
   Instant mPeriodStart{};
 };
 
--- a/gateway/src/crash_detector.cpp
+++ b/gateway/src/crash_detector.cpp
@@ -43,21 +43,23 @@
   }
 }
 
-std::map<policy::CrashId, std::vector<policy::RequestContent>>
-CrashDetector::takeSuspects(const std::string& aServerId, Instant aNow)
+std::map<policy::CrashId, CrashDetector::Crash>
+CrashDetector::takeCrashes(const std::string& aServerId, Instant aNow)
 {
-  std::map<policy::CrashId, std::vector<policy::RequestContent>> suspects;
+  std::map<policy::CrashId, Crash> crashes;
   const auto found = mLosses.find(aServerId);
   if (found == mLosses.end()) {
-    return suspects;
+    return crashes;
   }
   for (const Loss& loss : found->second) {
     if (aNow - loss.at <= kLossRetention) {
-      suspects[loss.crash].push_back(loss.request);
+      Crash& crash =
+        crashes.try_emplace(loss.crash, Crash{ .at = loss.at }).first->second;
+      crash.suspects.push_back(loss.request);
     }
   }
   mLosses.erase(found);
-  return suspects;
+  return crashes;
 }
 
 } // namespace laburnum::gateway
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -174,9 +174,11 @@
 RequestForwarder::quarantineTime() const
 {
   const Instant now = mContext.loop.now();
-  Duration longest = mContext.quarantine.remainingRefusal(mContent.fingerprint, now);
+  Duration longest =
+    mContext.quarantine.remainingRefusal(mContent.fingerprint, now);
   for (const std::uint64_t part : mContent.parts) {
-    longest = std::max(longest, mContext.quarantine.remainingRefusal(part, now));
+    longest =
+      std::max(longest, mContext.quarantine.remainingRefusal(part, now));
   }
   return longest;
 }
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -83,7 +83,8 @@
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
     mContext.reportEnded(mContent);
-    if (mResponse.result_int() / 100 == 2) {
+    // A stream was reported when it began.
+    if (mResponse.result_int() / 100 == 2 && !mIsEventStream) {
       mContext.reportServed(mContent.parts, mContext.loop.now());
     }
   }
--- a/gateway/src/served_parts.cpp
+++ b/gateway/src/served_parts.cpp
@@ -11,18 +11,28 @@
 
 } // namespace
 
-bool
+void
 ServedParts::record(std::uint64_t aPart, Instant aNow)
 {
   if (aNow - mPeriodStart >= kPeriod || mCurrent.size() >= kMaxParts) {
     const bool isOutdated = aNow - mPeriodStart >= 2 * kPeriod;
-    mPrevious = isOutdated ? decltype(mPrevious){} : std::move(mCurrent);
+    mPrevious = isOutdated ? Times{} : std::move(mCurrent);
     mCurrent.clear();
     mPeriodStart = aNow;
   }
-  const bool isNew = !contains(aPart);
-  mCurrent.insert(aPart);
-  return isNew;
+  mCurrent[aPart] = aNow;
+}
+
+std::optional<Instant>
+ServedParts::lastServed(std::uint64_t aPart) const
+{
+  for (const Times* times : { &mCurrent, &mPrevious }) {
+    const auto found = times->find(aPart);
+    if (found != times->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
 }
 
 } // namespace laburnum::gateway
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -564,7 +564,7 @@
   detector.recordLoss("i-1", 1, { 7 }, start);
   detector.recordLoss("i-1", 1, { 7 }, start + milliseconds(10));
   detector.recordResponse("i-1", start + milliseconds(20));
-  CHECK(detector.takeSuspects("i-1", start + seconds(1)).empty());
+  CHECK(detector.takeCrashes("i-1", start + seconds(1)).empty());
 }
 
 TEST_CASE("crash_detector_unreachableServer_suspectsRequestsInProgress")
@@ -572,14 +572,15 @@
   CrashDetector detector;
   const Instant start{ seconds(100) };
   detector.recordLoss("i-1", 1, { 7 }, start);
-  detector.recordLoss("i-1", 1, { 8 }, start);
-  detector.recordLoss("i-1", 2, { 7 }, start);
+  detector.recordLoss("i-1", 1, { 8 }, start + milliseconds(5));
+  detector.recordLoss("i-1", 2, { 7 }, start + milliseconds(5));
   detector.recordLoss("i-2", 3, { 9 }, start);
   // A response to a request sent before the loss does not disprove a crash.
   detector.recordResponse("i-1", start - milliseconds(1));
-  CHECK(detector.takeSuspects("i-1", start + seconds(1)) ==
-        std::map<policy::CrashId, std::vector<policy::RequestContent>>{
-          { 1, { { 7 }, { 8 } } }, { 2, { { 7 } } } });
-  CHECK(detector.takeSuspects("i-1", start + seconds(1)).empty());
-  CHECK(detector.takeSuspects("i-2", start + seconds(6)).empty());
+  CHECK(detector.takeCrashes("i-1", start + seconds(1)) ==
+        std::map<policy::CrashId, CrashDetector::Crash>{
+          { 1, { .at = start, .suspects = { { 7 }, { 8 } } } },
+          { 2, { .at = start + milliseconds(5), .suspects = { { 7 } } } } });
+  CHECK(detector.takeCrashes("i-1", start + seconds(1)).empty());
+  CHECK(detector.takeCrashes("i-2", start + seconds(6)).empty());
 }
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -3,6 +3,8 @@
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -46,6 +48,10 @@
   Duration remaining{ 0 };       ///< Time until the suspicion expires.
   std::vector<CrashId> crashIds; ///< Crashes at which it was in progress.
   std::uint8_t specificity = kWholeRequest;
+  /// Some daemon served it shortly before the crashes.
+  bool wasServed = false;
+  Duration sinceFirstCrash{ 0 };
+  Duration sinceLastCrash{ 0 };
 };
 
 /// Identifies requests that crash backend servers, so that retries of one do
@@ -59,6 +65,11 @@
 /// at the same crashes, the more specific one is the cause: all requests of a
 /// kind share the first part of their prompts.
 ///
+/// What was served shortly before the crashes is the cause only if it crashes
+/// servers again some time later, and if nothing that was not served explains
+/// the same crashes: servers may end at one moment for another reason while
+/// many requests share a part. What is served after a crash is exonerated.
+///
 /// Which daemon observed which crash makes no difference once they have
 /// exchanged their records.
 ///
@@ -84,13 +95,19 @@
   /// Returns for how long a request is refused; 0 if it is not.
   Duration remainingRefusal(std::uint64_t aFingerprint, Instant aNow) const;
 
+  /// Tells whether a request or part was served lately.
+  using WasServed = std::function<bool(std::uint64_t)>;
+
   /// Records a crash of a backend server.
   /// @param aInProgress The requests it was running.
+  /// @param aSinceCrash How long ago it crashed.
   /// @return The suspicions that were added or renewed.
   std::vector<SuspicionRecord> recordCrash(
     CrashId aCrash,
     std::span<const RequestContent> aInProgress,
-    Instant aNow);
+    Instant aNow,
+    const WasServed& aWasServed = [](std::uint64_t) { return false; },
+    Duration aSinceCrash = Duration(0));
 
   /// Clears a suspect whose request ended without a crash. A refused request
   /// stays refused.
@@ -104,6 +121,11 @@
     return mEntries.erase(aFingerprint) > 0;
   }
 
+  /// Records that a suspected request or part was served before its crashes.
+  /// @return The suspicion if this was not known, to be sent to other daemons.
+  std::optional<SuspicionRecord> markServed(std::uint64_t aFingerprint,
+                                            Instant aNow);
+
   /// Merges records from another daemon: joins the crashes and keeps the
   /// stronger suspicion, or exonerates. Records of the same crashes belong into
   /// one call, since it shows who shares them.
@@ -131,9 +153,15 @@
     bool isRefusedElsewhere = false;
     Duration term{ 0 }; ///< Of the suspicion or refusal.
     Instant until{};    ///< End of the term.
+    bool wasServed = false;
+    Instant firstCrashAt{};
+    Instant lastCrashAt{};
 
+    /// True if its crashes suffice to refuse it, if nothing else explains them.
+    bool hasEnoughCrashes() const;
     /// Returns whether the crash was not known yet.
     bool addCrash(CrashId aCrash);
+    void addCrashAt(Instant aTime);
   };
   /// True while a refusal has ended and a single crash renews it.
   static bool isOnProbation(const Entry& aEntry, Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -8,11 +8,14 @@
 /// One crash is not enough, since other requests were in progress at it.
 constexpr std::uint8_t kCrashesToRefuse = 2;
 /// At so many crashes it does not matter whether another request was in
-/// progress at all of them.
+/// progress at all of them, and what was served before is not protected.
 constexpr std::size_t kCrashesToRefuseAnyway = 3;
 /// Crashes that are remembered of a suspect.
 constexpr std::size_t kMaxCrashes = 8;
 
+/// Crashes within this time may have one cause other than a request, such as
+/// the loss of a rack and then of the servers that took over.
+constexpr Duration kConcurrentCrashes = seconds(4);
 /// Factor by which each renewal of a refusal is longer than the one before.
 constexpr int kTermGrowth = 10;
 constexpr Duration kMaxTerm = seconds(3600);
@@ -49,6 +52,14 @@
            : Duration(0);
 }
 
+bool
+Quarantine::Entry::hasEnoughCrashes() const
+{
+  return wasServed ? crashIds.size() >= kCrashesToRefuseAnyway &&
+                       lastCrashAt - firstCrashAt >= kConcurrentCrashes
+                   : crashIds.size() >= kCrashesToRefuse;
+}
+
 bool
 Quarantine::Entry::addCrash(CrashId aCrash)
 {
@@ -60,6 +71,14 @@
   return true;
 }
 
+void
+Quarantine::Entry::addCrashAt(Instant aTime)
+{
+  const bool isFirst = firstCrashAt == Instant{};
+  firstCrashAt = isFirst ? aTime : std::min(firstCrashAt, aTime);
+  lastCrashAt = std::max(lastCrashAt, aTime);
+}
+
 bool
 Quarantine::isOnProbation(const Entry& aEntry, Instant aNow)
 {
@@ -89,12 +108,18 @@
 bool
 Quarantine::isBetterExplained(const Entry& aEntry, const Entry& aOther)
 {
-  if (countCommon(aOther.crashIds, aEntry.crashIds) < aEntry.crashIds.size()) {
+  // To refuse what was served before takes more than a part of the evidence.
+  const std::size_t needed =
+    aEntry.wasServed ? kCrashesToRefuse : aEntry.crashIds.size();
+  if (countCommon(aOther.crashIds, aEntry.crashIds) < needed) {
     return false;
   }
   if (aOther.specificity != aEntry.specificity) {
     return aOther.specificity > aEntry.specificity;
   }
+  if (aOther.wasServed != aEntry.wasServed) {
+    return aEntry.wasServed;
+  }
   return aEntry.crashIds.size() < kCrashesToRefuseAnyway;
 }
 
@@ -109,10 +134,12 @@
     }
   }
   for (Entry* entry : candidates) {
-    const bool isCause = std::none_of(
-      candidates.begin(), candidates.end(), [entry](const Entry* aOther) {
-        return aOther != entry && isBetterExplained(*entry, *aOther);
-      });
+    const bool isCause =
+      entry->hasEnoughCrashes() &&
+      std::none_of(
+        candidates.begin(), candidates.end(), [entry](const Entry* aOther) {
+          return aOther != entry && isBetterExplained(*entry, *aOther);
+        });
     entry->isRefused = entry->isRefused || isCause;
   }
 }
@@ -142,18 +169,25 @@
            .crashes = aEntry.isRefused ? kCrashesToRefuse : std::uint8_t{ 1 },
            .remaining = aEntry.until - aNow,
            .crashIds = aEntry.crashIds,
-           .specificity = aEntry.specificity };
+           .specificity = aEntry.specificity,
+           .wasServed = aEntry.wasServed,
+           .sinceFirstCrash = aNow - aEntry.firstCrashAt,
+           .sinceLastCrash = aNow - aEntry.lastCrashAt };
 }
 
 std::vector<SuspicionRecord>
 Quarantine::recordCrash(CrashId aCrash,
                         std::span<const RequestContent> aInProgress,
-                        Instant aNow)
+                        Instant aNow,
+                        const WasServed& aWasServed,
+                        Duration aSinceCrash)
 {
   std::vector<std::uint64_t> suspects;
   const auto add = [&](std::uint64_t aFingerprint, std::size_t aSpecificity) {
     if (Entry* entry = addSuspect(aFingerprint, aCrash, aNow)) {
+      entry->addCrashAt(aNow - aSinceCrash);
       entry->specificity = static_cast<std::uint8_t>(aSpecificity);
+      entry->wasServed = entry->wasServed || aWasServed(aFingerprint);
       suspects.push_back(aFingerprint);
     }
   };
@@ -182,6 +216,18 @@
          mEntries.erase(aFingerprint) > 0;
 }
 
+std::optional<SuspicionRecord>
+Quarantine::markServed(std::uint64_t aFingerprint, Instant aNow)
+{
+  const auto found = mEntries.find(aFingerprint);
+  if (found == mEntries.end() || found->second.wasServed) {
+    return std::nullopt;
+  }
+  found->second.wasServed = true;
+  judge();
+  return record(aFingerprint, found->second, aNow);
+}
+
 std::vector<SuspicionRecord>
 Quarantine::merge(std::span<const SuspicionRecord> aRecords, Instant aNow)
 {
@@ -211,12 +257,16 @@
   }
   const bool isRefusal = aRecord.crashes >= kCrashesToRefuse;
   const bool hasNoEvidence = isRefusal && aRecord.crashIds.empty();
-  bool isNew = !isKnown || (isRefusal && isOnProbation(*entry, aNow)) ||
+  bool isNew = !isKnown || (aRecord.wasServed && !entry->wasServed) ||
+               (isRefusal && isOnProbation(*entry, aNow)) ||
                (hasNoEvidence && !entry->isRefusedElsewhere);
   for (const CrashId crash : aRecord.crashIds) {
     isNew = entry->addCrash(crash) || isNew;
   }
   entry->isRefusedElsewhere = entry->isRefusedElsewhere || hasNoEvidence;
+  entry->wasServed = entry->wasServed || aRecord.wasServed;
+  entry->addCrashAt(aNow - aRecord.sinceFirstCrash);
+  entry->addCrashAt(aNow - aRecord.sinceLastCrash);
   if (!isNew) {
     return false;
   }
--- a/policy/tests/unit_quarantine.cpp
+++ b/policy/tests/unit_quarantine.cpp
@@ -90,3 +90,85 @@
     CHECK(observer.suspicion(1, later) == Suspicion::Suspect);
   }
 }
+
+TEST_CASE("quarantine_servedPartAtCrashesOfOneMoment_isNotRefused")
+{
+  // Servers crash for another reason while many requests share a part.
+  constexpr std::uint64_t kPart = 100;
+  const auto isServed = [](std::uint64_t aContent) {
+    return aContent == kPart;
+  };
+  Quarantine observer(kTerm);
+  Quarantine other(kTerm);
+  Instant now = kStart;
+  for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+    const RequestContent inProgress[]{ { crash, { kPart } } };
+    const auto records = observer.recordCrash(crash, inProgress, now, isServed);
+    now += milliseconds(600);
+    other.merge(records, now);
+  }
+  for (const Quarantine* quarantine : { &observer, &other }) {
+    CHECK(quarantine->suspicion(kPart, now) == Suspicion::Suspect);
+  }
+}
+
+TEST_CASE("quarantine_partCrashesServersThoughServedBefore_isRefused")
+{
+  constexpr std::uint64_t kPart = 100;
+  const auto isServed = [](std::uint64_t aContent) {
+    return aContent == kPart;
+  };
+  Quarantine observer(kTerm);
+  Quarantine other(kTerm);
+  Instant now = kStart;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash, now += seconds(5)) {
+    CHECK(other.suspicion(kPart, now) != Suspicion::Refused);
+    const RequestContent inProgress[]{ { crash, { kPart } } };
+    other.merge(observer.recordCrash(crash, inProgress, now, isServed), now);
+  }
+  for (const Quarantine* quarantine : { &observer, &other }) {
+    CHECK(quarantine->suspicion(kPart, now) == Suspicion::Refused);
+  }
+}
+
+TEST_CASE("quarantine_servedAndNewPartAtTheSameCrashes_onlyTheNewOneIsRefused")
+{
+  constexpr std::uint64_t kServed = 100;
+  constexpr std::uint64_t kNew = 101;
+  const auto isServed = [](std::uint64_t aContent) {
+    return aContent == kServed;
+  };
+  Quarantine quarantine(kTerm);
+  Instant now = kStart;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash, now += seconds(5)) {
+    const RequestContent inProgress[]{ { 2 * crash, { kServed } },
+                                       { 2 * crash + 1, { kNew } } };
+    quarantine.recordCrash(crash, inProgress, now, isServed);
+    CHECK(quarantine.suspicion(kServed, now) == Suspicion::Suspect);
+  }
+  CHECK(quarantine.suspicion(kNew, now) == Suspicion::Refused);
+}
+
+TEST_CASE("quarantine_anotherDaemonHasServedThePart_refusalIsTakenBack")
+{
+  constexpr std::uint64_t kPart = 100;
+  Quarantine observer(kTerm);
+  Quarantine server(kTerm);
+  for (std::uint64_t crash = 1; crash <= 2; ++crash) {
+    const RequestContent inProgress[]{ { crash, { kPart } } };
+    server.merge(observer.recordCrash(crash, inProgress, kStart), kStart);
+  }
+  REQUIRE(server.suspicion(kPart, kStart) == Suspicion::Refused);
+  const auto record = server.markServed(kPart, kStart);
+  REQUIRE(record);
+  CHECK(observer.merge({ &*record, 1 }, kStart).size() == 1);
+  for (Quarantine* quarantine : { &observer, &server }) {
+    CHECK(quarantine->suspicion(kPart, kStart) == Suspicion::Suspect);
+    // A record from before changes nothing any more, so that it is not passed
+    // on for ever.
+    SuspicionRecord former = *record;
+    former.crashes = 2;
+    former.wasServed = false;
+    CHECK(quarantine->merge({ &former, 1 }, kStart).empty());
+  }
+}
--- a/wire/src/suspicion.cpp
+++ b/wire/src/suspicion.cpp
@@ -3,6 +3,17 @@
 #include <algorithm>
 
 namespace laburnum::wire {
+namespace {
+
+Duration
+elapsedAt(const std::vector<std::int64_t>& aTimes, std::size_t aIndex)
+{
+  return aIndex < aTimes.size()
+           ? Duration(std::max<std::int64_t>(0, aTimes[aIndex]))
+           : Duration(0);
+}
+
+} // namespace
 
 SuspectsT
 encodeSuspicions(const std::vector<policy::SuspicionRecord>& aRecords)
@@ -13,6 +24,9 @@
     message.crashes.push_back(record.crashes);
     message.remaining_us.push_back(record.remaining.count());
     message.specificities.push_back(record.specificity);
+    message.served.push_back(record.wasServed);
+    message.since_first_crash_us.push_back(record.sinceFirstCrash.count());
+    message.since_last_crash_us.push_back(record.sinceLastCrash.count());
     message.crash_id_counts.push_back(
       static_cast<std::uint8_t>(record.crashIds.size()));
     message.crash_ids.insert(
@@ -36,10 +50,15 @@
                                     .crashes = aMessage.crashes[i],
                                     .remaining =
                                       Duration(aMessage.remaining_us[i]) };
+    // Daemons of earlier versions do not send the fields that follow.
     if (i < aMessage.specificities.size()) {
       record.specificity = aMessage.specificities[i];
     }
-    // Daemons of an earlier version do not send crashes.
+    if (i < aMessage.served.size()) {
+      record.wasServed = aMessage.served[i];
+    }
+    record.sinceFirstCrash = elapsedAt(aMessage.since_first_crash_us, i);
+    record.sinceLastCrash = elapsedAt(aMessage.since_last_crash_us, i);
     const std::size_t lastCrash =
       std::min(firstCrash + (i < aMessage.crash_id_counts.size()
                                ? aMessage.crash_id_counts[i]
