Gateway: remember served requests like served parts, so that sound ones are not refused

Callers could see: a lookup that many ask for refused for a minute by the whole fleet, after two servers had ended for another reason while they ran it.

Cause: the memory of what was served covered parts of prompts only. A request without parts that was in progress at two crashes was refused, however often it had been served.

Requests without shared parts are remembered under their fingerprint, with the same rules. Those with parts have one of their own and come once.

--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -8,7 +8,7 @@
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/protocol.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
-#include "laburnum/gateway/served_parts.hpp"
+#include "laburnum/gateway/served_content.hpp"
 #include "laburnum/gateway/server_list.hpp"
 #include "laburnum/gateway/server_probe.hpp"
 #include "laburnum/gateway/server_selector.hpp"
@@ -56,16 +56,21 @@
   void reportServerGone(const std::string& aServerId, Instant aNow)
   {
     for (auto& [id, crash] : crashDetector.takeCrashes(aServerId, aNow)) {
-      const auto wasServed = [this](std::uint64_t aPart) {
-        return servedParts.lastServed(aPart).has_value();
+      const auto wasServed = [this](std::uint64_t aContent) {
+        return servedContent.lastServed(aContent).has_value();
       };
       boost::json::array names;
       boost::json::array parts;
       boost::json::array served;
+      const auto isInnocent = [this, &crash](std::uint64_t aContent) {
+        return servedContent.lastServed(aContent) > crash.at;
+      };
+      std::erase_if(crash.suspects,
+                    [&](const policy::RequestContent& aRequest) {
+                      return isInnocent(aRequest.fingerprint);
+                    });
       for (policy::RequestContent& request : crash.suspects) {
-        std::erase_if(request.parts, [this, &crash](std::uint64_t aPart) {
-          return servedParts.lastServed(aPart) > crash.at;
-        });
+        std::erase_if(request.parts, isInnocent);
         names.emplace_back(fingerprintText(request.fingerprint));
         for (const std::uint64_t part : request.parts) {
           (wasServed(part) ? served : parts)
@@ -92,21 +97,24 @@
     }
   }
 
-  /// Called when a response to a request with these parts of a prompt has
-  /// begun.
-  void reportServed(const std::vector<std::uint64_t>& aParts, Instant aNow)
+  /// Called when a response to a request has begun.
+  void reportServed(const policy::RequestContent& aRequest, Instant aNow)
   {
+    // A request with parts has one of its own and comes once.
+    const std::vector<std::uint64_t> contents =
+      aRequest.parts.empty() ? std::vector{ aRequest.fingerprint }
+                             : aRequest.parts;
     std::vector<std::uint64_t> exonerated;
-    for (const std::uint64_t part : aParts) {
-      servedParts.record(part, aNow);
-      if (quarantine.exonerate(part)) {
-        exonerated.push_back(part);
+    for (const std::uint64_t content : contents) {
+      servedContent.record(content, aNow);
+      if (quarantine.exonerate(content)) {
+        exonerated.push_back(content);
       }
     }
     shareExonerated(exonerated);
   }
 
-  /// Merges suspicions from other gateways, and tells them of the parts that
+  /// Merges suspicions from other gateways, and tells them of the content that
   /// this one has served. Returns what was new.
   std::vector<policy::SuspicionRecord> mergeSuspicions(
     const wire::SuspectsT& aMessage)
@@ -116,7 +124,7 @@
     std::vector<std::uint64_t> exonerated;
     std::vector<policy::SuspicionRecord> served;
     for (const policy::SuspicionRecord& change : changes) {
-      const auto servedAt = servedParts.lastServed(change.fingerprint);
+      const auto servedAt = servedContent.lastServed(change.fingerprint);
       if (change.crashes == 0 || !servedAt) {
         continue;
       }
@@ -161,7 +169,7 @@
   std::map<std::string, int> activeStreams;         ///< By service.
   SurgeDetector surgeDetector;
   CrashDetector crashDetector;
-  ServedParts servedParts;
+  ServedContent servedContent;
   /// How long a request that crashes servers is refused.
   static constexpr Duration kQuarantineTime = seconds(60);
   policy::Quarantine quarantine{ kQuarantineTime };
--- /dev/null
+++ b/gateway/include/laburnum/gateway/served_content.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "laburnum/kernel/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace laburnum::gateway {
+
+/// Remembers when content was served last: parts of prompts that requests
+/// share, and requests without such parts. Content that was served after a
+/// crash did not cause it.
+///
+/// Performs no I/O. Thread safety: loop thread only.
+/// @pre Times passed to the methods never decrease.
+class ServedContent
+{
+public:
+  /// Records that a response to a request with this content has begun.
+  void record(std::uint64_t aContent, Instant aNow);
+
+  /// Returns when the content was served last, if that is less than 30 s ago.
+  /// Content is forgotten after 60 s, or earlier if there is much.
+  std::optional<Instant> lastServed(std::uint64_t aContent) const;
+
+private:
+  using Times = std::unordered_map<std::uint64_t, Instant>;
+
+  Times mCurrent;
+  Times mPrevious; ///< Of the period before.
+  Instant mPeriodStart{};
+};
+
+} // namespace laburnum::gateway
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -251,7 +251,7 @@
   }
   if (!mHasForwardedEvents) {
     mHasForwardedEvents = true;
-    mContext.reportServed(mContent.parts, now);
+    mContext.reportServed(mContent, now);
     mFirstEventDelay = now - mStartedAt;
     bhttp::response<bhttp::empty_body> head;
     head.result(mResponse.result());
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -85,7 +85,7 @@
     mContext.reportEnded(mContent);
     // A stream was reported when it began.
     if (mResponse.result_int() / 100 == 2 && !mIsEventStream) {
-      mContext.reportServed(mContent.parts, mContext.loop.now());
+      mContext.reportServed(mContent, mContext.loop.now());
     }
   }
 }
--- a/gateway/src/served_parts.cpp
+++ b/gateway/src/served_content.cpp
@@ -1,4 +1,4 @@
-#include "laburnum/gateway/served_parts.hpp"
+#include "laburnum/gateway/served_content.hpp"
 
 #include <utility>
 
@@ -6,28 +6,28 @@
 namespace {
 
 constexpr Duration kPeriod = seconds(30);
-/// Parts per period, which bounds the memory.
-constexpr std::size_t kMaxParts = 4096;
+/// Bounds the memory.
+constexpr std::size_t kMaxPerPeriod = 4096;
 
 } // namespace
 
 void
-ServedParts::record(std::uint64_t aPart, Instant aNow)
+ServedContent::record(std::uint64_t aContent, Instant aNow)
 {
-  if (aNow - mPeriodStart >= kPeriod || mCurrent.size() >= kMaxParts) {
+  if (aNow - mPeriodStart >= kPeriod || mCurrent.size() >= kMaxPerPeriod) {
     const bool isOutdated = aNow - mPeriodStart >= 2 * kPeriod;
     mPrevious = isOutdated ? Times{} : std::move(mCurrent);
     mCurrent.clear();
     mPeriodStart = aNow;
   }
-  mCurrent[aPart] = aNow;
+  mCurrent[aContent] = aNow;
 }
 
 std::optional<Instant>
-ServedParts::lastServed(std::uint64_t aPart) const
+ServedContent::lastServed(std::uint64_t aContent) const
 {
   for (const Times* times : { &mCurrent, &mPrevious }) {
-    const auto found = times->find(aPart);
+    const auto found = times->find(aContent);
     if (found != times->end()) {
       return found->second;
     }
