--- /dev/null
+++ b/gateway/include/laburnum/gateway/crash_suspicions.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "laburnum/gateway/crash_detector.hpp"
+#include "laburnum/gateway/served_content.hpp"
+#include "laburnum/wire/suspicion.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace laburnum::gateway {
+
+/// Finds out, together with the other gateways, which requests or parts of
+/// prompts crash backend servers: collects the crashes that this gateway sees
+/// and what it has served, and exchanges both.
+///
+/// Performs no I/O itself. Thread safety: loop thread only.
+/// @pre Times passed to the methods never decrease.
+class CrashSuspicions
+{
+public:
+  using Records = std::vector<policy::SuspicionRecord>;
+
+  /// Sets the function that sends records to the other gateways.
+  void setShare(std::function<void(const Records&)> aShare)
+  {
+    mShare = std::move(aShare);
+  }
+
+  /// Records that the connection was lost before the response to a request
+  /// began. `aProcess` identifies the process of the server.
+  void requestLost(const std::string& aServerId,
+                   policy::CrashId aProcess,
+                   const policy::RequestContent& aRequest,
+                   Instant aNow);
+
+  /// Records a response to a request that was sent at `aSentAt`: the server had
+  /// not crashed by then.
+  void serverResponded(const std::string& aServerId, Instant aSentAt);
+
+  /// Called when a server is unreachable or was removed. Requests that were in
+  /// progress when it was lost become suspects.
+  void serverGone(const std::string& aServerId, Instant aNow);
+
+  /// Called when a request ended without a crash.
+  void requestEnded(const policy::RequestContent& aRequest, Instant aNow);
+
+  /// Called when a response to a request has begun.
+  void requestServed(const policy::RequestContent& aRequest, Instant aNow);
+
+  /// Merges records of other gateways, and tells them what this one has served.
+  /// Returns what was new.
+  Records merge(const wire::SuspectsT& aMessage, Instant aNow);
+
+  /// All current records, for a peer that may know none of them.
+  Records records(Instant aNow) { return mQuarantine.records(aNow); }
+
+  /// Returns the request or the part of its prompt that is refused, if any is.
+  std::optional<std::uint64_t> refusedContent(
+    const policy::RequestContent& aRequest,
+    Instant aNow) const;
+
+  /// Returns for how long a request is refused; 0 if it is not.
+  Duration remainingRefusal(const policy::RequestContent& aRequest,
+                            Instant aNow) const;
+
+private:
+  /// Drops what was served after the crash and so did not cause it.
+  void removeServedSince(CrashDetector::Crash& aCrash) const;
+  void logCrash(const std::string& aServerId,
+                const CrashDetector::Crash& aCrash) const;
+  /// Tells the other gateways that these do not crash servers.
+  void shareExonerated(const std::vector<std::uint64_t>& aContents) const;
+  bool wasServed(std::uint64_t aContent) const
+  {
+    return mServed.lastServed(aContent).has_value();
+  }
+
+  /// How long a request that crashes servers is refused at first.
+  static constexpr Duration kRefusalDuration = seconds(60);
+
+  CrashDetector mDetector;
+  ServedContent mServed;
+  policy::Quarantine mQuarantine{ kRefusalDuration };
+  std::function<void(const Records&)> mShare = [](const Records&) {};
+};
+
+} // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -45,8 +45,6 @@
   bool chooseService();
   bool checkQuarantine();
   bool isQuarantined() const;
-  /// Time until a request in quarantine may be sent again.
-  Duration quarantineTime() const;
   void parseDemand();
   bool checkGroupAdmission();
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -75,9 +75,8 @@
 void
 Gateway::start()
 {
-  mContext.shareSuspicions = [this](const auto& aChanges) {
-    mFollower.shareSuspicions(aChanges);
-  };
+  mContext.crashSuspicions.setShare(
+    [this](const auto& aChanges) { mFollower.shareSuspicions(aChanges); });
   const tcp::endpoint endpoint = toEndpoint(mSettings.callers);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -203,7 +202,7 @@
         { { "server", id }, { "reason", aReason } });
     mContext.pool.closeIdle(id);
     mContext.selector.removeServer(id);
-    mContext.reportServerGone(id, mLoop.now());
+    mContext.crashSuspicions.serverGone(id, mLoop.now());
   }
 }
 
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -128,7 +128,7 @@
             { { "service", aService }, { "steward", aLink->peer().instance } });
           tellNews(follow);
           const auto suspicions =
-            mContext.quarantine.records(mContext.loop.now());
+            mContext.crashSuspicions.records(mContext.loop.now());
           if (!suspicions.empty()) {
             aLink->send(wire::encodeSuspicions(suspicions));
           }
@@ -198,7 +198,8 @@
 GroupFollower::processSuspicions(const LinkPtr& aFrom,
                                  const wire::SuspectsT& aMessage)
 {
-  const auto changes = mContext.mergeSuspicions(aMessage);
+  const auto changes =
+    mContext.crashSuspicions.merge(aMessage, mContext.loop.now());
   if (changes.empty()) {
     return;
   }
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -251,7 +251,7 @@
   }
   if (!mHasForwardedEvents) {
     mHasForwardedEvents = true;
-    mContext.reportServed(mContent, now);
+    mContext.crashSuspicions.requestServed(mContent, now);
     mFirstEventDelay = now - mStartedAt;
     bhttp::response<bhttp::empty_body> head;
     head.result(mResponse.result());
@@ -315,10 +315,11 @@
 {
   const Instant now = mContext.loop.now();
   if (!aEvent.isRequestSent) {
-    mContext.reportServerGone(mServerId, now);
+    mContext.crashSuspicions.serverGone(mServerId, now);
     finishAttempt(AttemptOutcome::NotSent, aEvent.reason);
   } else if (aEvent.isClosedByServer && !mHasForwardedEvents) {
-    mContext.crashDetector.recordLoss(mServerId, mServerProcess, mContent, now);
+    mContext.crashSuspicions.requestLost(
+      mServerId, mServerProcess, mContent, now);
     finishLostAttempt(aEvent.reason);
   } else {
     finishAttempt(AttemptOutcome::Lost, aEvent.reason);
@@ -362,7 +363,8 @@
   refuse(503,
          { .error = aDecision.error,
            .retryAfter = aDecision.error == Error::Quarantined
-                           ? quarantineTime()
+                           ? mContext.crashSuspicions.remainingRefusal(
+                               mContent, mContext.loop.now())
                            : noServerRetryAfter() });
 }
 
--- a/gateway/src/request_forwarder_admission.cpp
+++ b/gateway/src/request_forwarder_admission.cpp
@@ -1,8 +1,10 @@
 #include "laburnum/gateway/request_forwarder.hpp"
 
 #include "end_to_end.hpp"
+#include "laburnum/gateway/fingerprint.hpp"
 #include "laburnum/gateway/prompt_parts.hpp"
 #include "laburnum/kernel/hash.hpp"
+#include "laburnum/kernel/log.hpp"
 #include "leading_number.hpp"
 
 #include <algorithm>
@@ -151,38 +153,21 @@
 bool
 RequestForwarder::isQuarantined() const
 {
-  const Instant now = mContext.loop.now();
-  const auto isRefused = [&](std::uint64_t aFingerprint) {
-    return mContext.quarantine.suspicion(aFingerprint, now) ==
-           policy::Suspicion::Refused;
-  };
-  const auto part =
-    std::find_if(mContent.parts.begin(), mContent.parts.end(), isRefused);
-  const bool hasRefusedPart = part != mContent.parts.end();
-  if (!hasRefusedPart && !isRefused(mContent.fingerprint)) {
+  const auto refused =
+    mContext.crashSuspicions.refusedContent(mContent, mContext.loop.now());
+  if (!refused) {
     return false;
   }
-  log(LogLevel::Info,
-      "request_quarantined",
-      { { "request", mRequestId },
-        { "fingerprint", fingerprintText(mContent.fingerprint) },
-        { "part", hasRefusedPart ? fingerprintText(*part) : "" } });
+  log(
+    LogLevel::Info,
+    "request_quarantined",
+    { { "request", mRequestId },
+      { "fingerprint", fingerprintText(mContent.fingerprint) },
+      { "part",
+        *refused == mContent.fingerprint ? "" : fingerprintText(*refused) } });
   return true;
 }
 
-Duration
-RequestForwarder::quarantineTime() const
-{
-  const Instant now = mContext.loop.now();
-  Duration longest =
-    mContext.quarantine.remainingRefusal(mContent.fingerprint, now);
-  for (const std::uint64_t part : mContent.parts) {
-    longest =
-      std::max(longest, mContext.quarantine.remainingRefusal(part, now));
-  }
-  return longest;
-}
-
 void
 RequestForwarder::parseDemand()
 {
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/gateway/request_forwarder.hpp"
 
+#include "laburnum/gateway/fingerprint.hpp"
 #include "laburnum/kernel/log.hpp"
 
 namespace laburnum::gateway {
@@ -28,7 +29,7 @@
   if (aOutcome == AttemptOutcome::Completed ||
       aOutcome == AttemptOutcome::Failed ||
       aOutcome == AttemptOutcome::Rejected) {
-    mContext.crashDetector.recordResponse(mServerId, mSentAt);
+    mContext.crashSuspicions.serverResponded(mServerId, mSentAt);
   }
   if (aOutcome != AttemptOutcome::Completed &&
       aOutcome != AttemptOutcome::Failed &&
@@ -47,7 +48,8 @@
     mServerAddress,
     [self = shared_from_this(), server = mServerId](ProbeResult aResult) {
       if (aResult == ProbeResult::Refused) {
-        self->mContext.reportServerGone(server, self->mContext.loop.now());
+        self->mContext.crashSuspicions.serverGone(server,
+                                                  self->mContext.loop.now());
       }
       self->mIsProbing = false;
       if (!self->mFinished) {
@@ -82,10 +84,10 @@
           { "fingerprint", fingerprintText(mContent.fingerprint) },
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
-    mContext.reportEnded(mContent);
+    mContext.crashSuspicions.requestEnded(mContent, mContext.loop.now());
     // A stream was reported when it began.
     if (mResponse.result_int() / 100 == 2 && !mIsEventStream) {
-      mContext.reportServed(mContent, mContext.loop.now());
+      mContext.crashSuspicions.requestServed(mContent, mContext.loop.now());
     }
   }
 }
