Quarantine: compare suspects only with those of the same crashes

Found by reading: each change compared all pairs of suspects with two crashes or more. After the loss of a rack whose streams were tried again elsewhere and lost again, that stalls gateways and stewards, which have a seventh of a core.

Suspects are looked up by crash; records that change nothing start no comparison. Same verdicts, by the tests.

--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -148,7 +148,7 @@
   {
     std::vector<CrashId> crashIds;
     std::uint8_t specificity = kWholeRequest;
-    bool isRefused = false; ///< See `judge`.
+    bool isRefused = false; ///< See `updateRefusals`.
     /// A daemon of an earlier version, which sends no crashes, refuses it.
     bool isRefusedElsewhere = false;
     Duration term{ 0 }; ///< Of the suspicion or refusal.
@@ -172,7 +172,7 @@
   bool join(const SuspicionRecord& aRecord, Instant aNow);
   /// Refuses exactly those that are the cause by all that is known, so that the
   /// order in which records arrive makes no difference.
-  void judge();
+  void updateRefusals();
   /// Returns the entry of a request for an update, or null at the capacity.
   Entry* entryFor(std::uint64_t aFingerprint, Instant aNow);
   /// True if the cause of the crashes of `aEntry` is rather the other one, or
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -124,23 +124,33 @@
 }
 
 void
-Quarantine::judge()
+Quarantine::updateRefusals()
 {
-  std::vector<Entry*> candidates;
+  // What explains the crashes of an entry was in progress at some of them.
+  std::unordered_map<CrashId, std::vector<const Entry*>> byCrash;
   for (auto& [fingerprint, entry] : mEntries) {
     entry.isRefused = entry.isRefusedElsewhere;
     if (entry.crashIds.size() >= kCrashesToRefuse) {
-      candidates.push_back(&entry);
+      for (const CrashId crash : entry.crashIds) {
+        byCrash[crash].push_back(&entry);
+      }
     }
   }
-  for (Entry* entry : candidates) {
-    const bool isCause =
-      entry->hasEnoughCrashes() &&
-      std::none_of(
-        candidates.begin(), candidates.end(), [entry](const Entry* aOther) {
-          return aOther != entry && isBetterExplained(*entry, *aOther);
-        });
-    entry->isRefused = entry->isRefused || isCause;
+  const auto hasOtherCause = [&byCrash](const Entry& aEntry, CrashId aCrash) {
+    const auto& others = byCrash[aCrash];
+    return std::any_of(
+      others.begin(), others.end(), [&aEntry](const Entry* aOther) {
+        return aOther != &aEntry && isBetterExplained(aEntry, *aOther);
+      });
+  };
+  for (auto& [fingerprint, entry] : mEntries) {
+    if (entry.hasEnoughCrashes() &&
+        std::none_of(
+          entry.crashIds.begin(), entry.crashIds.end(), [&](CrashId aCrash) {
+            return hasOtherCause(entry, aCrash);
+          })) {
+      entry.isRefused = true;
+    }
   }
 }
 
@@ -201,7 +211,7 @@
   }
   std::sort(suspects.begin(), suspects.end());
   suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
-  judge();
+  updateRefusals();
   std::vector<SuspicionRecord> changed;
   for (const std::uint64_t fingerprint : suspects) {
     changed.push_back(record(fingerprint, mEntries[fingerprint], aNow));
@@ -224,7 +234,7 @@
     return std::nullopt;
   }
   found->second.wasServed = true;
-  judge();
+  updateRefusals();
   return record(aFingerprint, found->second, aNow);
 }
 
@@ -237,7 +247,9 @@
       changed.push_back(each);
     }
   }
-  judge();
+  if (!changed.empty()) {
+    updateRefusals();
+  }
   return changed;
 }
 
