Quarantine: make room by dropping expired suspicions when it is full

Cause: expired suspicions were dropped only when all records were sent over a new link.

quarantine_fullOfExpiredSuspicions_takesNewOnes failed before.

--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -167,6 +167,7 @@
   static bool isOnProbation(const Entry& aEntry, Instant aNow);
   /// True once a suspicion has no effect any more.
   static bool isExpired(const Entry& aEntry, Instant aNow);
+  void removeExpired(Instant aNow);
   /// Merges a record, but for the question of who is the cause. Returns whether
   /// it changed the local state.
   bool join(const SuspicionRecord& aRecord, Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -97,6 +97,9 @@
 {
   const auto found = mEntries.find(aFingerprint);
   if (found == mEntries.end()) {
+    if (mEntries.size() >= mCapacity) {
+      removeExpired(aNow);
+    }
     return mEntries.size() >= mCapacity ? nullptr : &mEntries[aFingerprint];
   }
   if (isExpired(found->second, aNow)) {
@@ -290,12 +293,18 @@
   return true;
 }
 
-std::vector<SuspicionRecord>
-Quarantine::records(Instant aNow)
+void
+Quarantine::removeExpired(Instant aNow)
 {
   std::erase_if(mEntries, [&](const auto& aEntry) {
     return isExpired(aEntry.second, aNow);
   });
+}
+
+std::vector<SuspicionRecord>
+Quarantine::records(Instant aNow)
+{
+  removeExpired(aNow);
   std::vector<SuspicionRecord> all;
   for (const auto& [fingerprint, entry] : mEntries) {
     if (entry.until > aNow) {
--- a/policy/tests/unit_quarantine.cpp
+++ b/policy/tests/unit_quarantine.cpp
@@ -172,3 +172,16 @@
     CHECK(quarantine->merge({ &former, 1 }, kStart).empty());
   }
 }
+
+TEST_CASE("quarantine_fullOfExpiredSuspicions_takesNewOnes")
+{
+  Quarantine quarantine(kTerm, 2);
+  const RequestContent former[]{ { 1 }, { 2 } };
+  quarantine.recordCrash(1, former, kStart);
+  const RequestContent inProgress[]{ { 3 } };
+  quarantine.recordCrash(2, inProgress, kStart);
+  CHECK(quarantine.suspicion(3, kStart) == Suspicion::None);
+  const Instant later = kStart + kTerm;
+  quarantine.recordCrash(3, inProgress, later);
+  CHECK(quarantine.suspicion(3, later) == Suspicion::Suspect);
+}
