--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -146,7 +146,8 @@
         return aOther != &aEntry && isBetterExplained(aEntry, *aOther);
       });
   };
-  for (auto& [fingerprint, entry] : mEntries) {
+  for (auto& each : mEntries) {
+    Entry& entry = each.second;
     if (entry.hasEnoughCrashes() &&
         std::none_of(
           entry.crashIds.begin(), entry.crashIds.end(), [&](CrashId aCrash) {
