--- a/gateway/include/laburnum/gateway/crash_detector.hpp
+++ b/gateway/include/laburnum/gateway/crash_detector.hpp
@@ -41,9 +41,9 @@
     bool operator==(const Crash&) const = default;
   };
 
-  /// Called when the server is unreachable or was removed. Returns the
-  /// requests lost within the last 5 s, by process, and
-  /// discards them, so that each is reported once.
+  /// Called when the server is unreachable or was removed. Returns the requests
+  /// lost within the last 5 s, by process, and discards them, so that each is
+  /// reported once.
   std::map<policy::CrashId, Crash> takeCrashes(const std::string& aServerId,
                                                Instant aNow);
 
--- a/gateway/include/laburnum/gateway/crash_suspicions.hpp
+++ b/gateway/include/laburnum/gateway/crash_suspicions.hpp
@@ -49,8 +49,8 @@
   /// Called when a response to a request has begun.
   void requestServed(const policy::RequestContent& aRequest, Instant aNow);
 
-  /// Merges records of other gateways, and tells them what this one has served.
-  /// Returns what was new.
+  /// Merges records from other gateways, and sends them what this gateway has
+  /// served. Returns the records that changed something.
   Records merge(const wire::SuspectsT& aMessage, Instant aNow);
 
   /// All current records, for a peer that may know none of them.
@@ -70,7 +70,7 @@
   void removeServedSince(CrashDetector::Crash& aCrash) const;
   void logCrash(const std::string& aServerId,
                 const CrashDetector::Crash& aCrash) const;
-  /// Tells the other gateways that these do not crash servers.
+  /// Sends the other gateways the exoneration of these contents.
   void shareExonerated(const std::vector<std::uint64_t>& aContents) const;
   bool wasServed(std::uint64_t aContent) const
   {
--- a/gateway/include/laburnum/gateway/group_follower.hpp
+++ b/gateway/include/laburnum/gateway/group_follower.hpp
@@ -14,7 +14,7 @@
 /// Keeps a link to one steward of each group and passes on what it tells of the
 /// group. The steward is one of the own failure domain if there is any, so that
 /// each failure domain receives the state of a group once. Another one is tried
-/// if a steward tells nothing. Through the stewards, gateways also exchange
+/// if a steward is silent. Through the stewards, gateways also exchange
 /// which requests crash servers.
 ///
 /// Thread safety: loop thread only.
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -100,7 +100,8 @@
   policy::CrashId mServerProcess = 0; ///< Process of `mServerId`.
   contract::Address mServerAddress;
   std::int64_t mServerStartedMs = 0;
-  bool mIsProbing = false; ///< Whether the server of a lost attempt crashed.
+  /// While it is checked whether the server of a lost attempt has crashed.
+  bool mIsProbing = false;
   std::shared_ptr<ServerConnection> mConnection;
   Instant mSentAt{};
   http::Response mResponse;
--- a/gateway/include/laburnum/gateway/served_content.hpp
+++ b/gateway/include/laburnum/gateway/served_content.hpp
@@ -20,8 +20,8 @@
   /// Records that a response to a request with this content has begun.
   void record(std::uint64_t aContent, Instant aNow);
 
-  /// Returns when the content was served last, if that is less than 30 s ago.
-  /// Content is forgotten after 60 s, or earlier if there is much.
+  /// Returns when the content was served last, or nothing. Content is
+  /// remembered for 30 s at least, or less if there is much of it.
   std::optional<Instant> lastServed(std::uint64_t aContent) const;
 
 private:
--- a/gateway/include/laburnum/gateway/server_probe.hpp
+++ b/gateway/include/laburnum/gateway/server_probe.hpp
@@ -19,8 +19,9 @@
   Unknown  ///< No answer in time.
 };
 
-/// Tells a crashed server from a lost connection by opening another one, which
-/// takes a round trip. The server list shows a crash only seconds later.
+/// Distinguishes a crashed server from a lost connection by opening another
+/// connection, which takes a round trip. The server list shows a crash only
+/// seconds later.
 ///
 /// Thread safety: loop thread only.
 class ServerProbe
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -260,7 +260,7 @@
   const std::string received = one.request("POST", "/once/x", "", "work");
   CHECK(statusOf(received) == 503);
   CHECK(one.servers[0]->requests.size() == 1);
-  // The client is told when the server accepts requests again.
+  // The response states when the server accepts requests again.
   const std::string_view field = "Retry-After: ";
   const std::size_t at = received.find(field);
   REQUIRE(at != std::string::npos);
@@ -270,7 +270,7 @@
 TEST_CASE("gateway_serverRepeatsRefusal_requestThatRanIsNotReportedAsNotRun")
 {
   // A server refuses the first request of a connection. It runs any further
-  // one, and sends the refusal once more in place of the response.
+  // one, and repeats the refusal in place of the response.
   const std::string refusal = response(503, "Laburnum-Not-Executed: 1\r\n", "");
   const std::string path = GENERATE("/safe/", "/once/", "/events/");
   CAPTURE(path);
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -65,16 +65,18 @@
 /// at the same crashes, the more specific one is the cause: all requests of a
 /// kind share the first part of their prompts.
 ///
-/// What was served shortly before the crashes is the cause only if it crashes
-/// servers again some time later, and if nothing that was not served explains
-/// the same crashes: servers may end at one moment for another reason while
-/// many requests share a part. What is served after a crash is exonerated.
+/// Servers may also end at one moment for another reason while many requests
+/// share a part. Content that was served shortly before the crashes is
+/// therefore refused only after three crashes over four seconds, and only if no
+/// content that was not served explains them. Content that is served after a
+/// crash is exonerated.
 ///
-/// Which daemon observed which crash makes no difference once they have
-/// exchanged their records.
+/// A verdict depends only on the records that are known, not on their order or
+/// on which daemon observed which crash.
+///
+/// A refusal expires, since the server software may have been replaced. For as
+/// long again, a single crash renews it for ten times as long.
 ///
-/// A refusal ends after a time, since the server software may have been mended.
-/// For as long again, a single crash renews it, for ten times as long.
 /// Not thread-safe; timestamps must not decrease between calls.
 class Quarantine
 {
@@ -95,7 +97,7 @@
   /// Returns for how long a request is refused; 0 if it is not.
   Duration remainingRefusal(std::uint64_t aFingerprint, Instant aNow) const;
 
-  /// Tells whether a request or part was served lately.
+  /// Returns whether a request or part was served recently.
   using WasServed = std::function<bool(std::uint64_t)>;
 
   /// Records a crash of a backend server.
@@ -126,9 +128,9 @@
   std::optional<SuspicionRecord> markServed(std::uint64_t aFingerprint,
                                             Instant aNow);
 
-  /// Merges records from another daemon: joins the crashes and keeps the
-  /// stronger suspicion, or exonerates. Records of the same crashes belong into
-  /// one call, since it shows who shares them.
+  /// Merges records from another daemon: joins the crashes, or exonerates.
+  /// Records of the same crashes belong into one call, so that all suspects are
+  /// compared.
   /// @return The records that changed the local state.
   std::vector<SuspicionRecord> merge(std::span<const SuspicionRecord> aRecords,
                                      Instant aNow);
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -7,8 +7,9 @@
 
 /// One crash is not enough, since other requests were in progress at it.
 constexpr std::uint8_t kCrashesToRefuse = 2;
-/// At so many crashes it does not matter whether another request was in
-/// progress at all of them, and what was served before is not protected.
+/// From this number of crashes on, it does not matter whether another request
+/// was in progress at all of them, and content that was served before is not
+/// protected.
 constexpr std::size_t kCrashesToRefuseAnyway = 3;
 /// Crashes that are remembered of a suspect.
 constexpr std::size_t kMaxCrashes = 8;
