Gateway: read and log the rate limit that a server states

Which requests went beyond a limit could not be told from the log: no line had the limit. server_rate_limit is logged at each change, with the requests of this gateway in progress there. Nothing is decided by it yet.

The choice of a server moves to a file of its own, unchanged.

--- a/gateway/include/laburnum/gateway/protocol.hpp
+++ b/gateway/include/laburnum/gateway/protocol.hpp
@@ -22,6 +22,8 @@
   std::string_view lengthHint = "Laburnum-Length-Hint";
   std::string_view priority = "Laburnum-Priority";
   std::string_view serverLeaving = "Laburnum-Leaving"; ///< "1" if it is.
+  /// Requests per second that the server accepts from all gateways together.
+  std::string_view serverRateLimit = "Laburnum-Rate-Limit";
   std::string_view failedServer = "Laburnum-Failed-Server";
 };
 
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -54,6 +54,8 @@
   void handle(const ResponseHead& aEvent);
   /// Stops sending to the server for as long as its response asks for.
   void pauseServer();
+  /// Records the rate of requests that the server accepts.
+  void updateRateLimit();
   Duration noServerRetryAfter() const;
   void handle(const ResponseBytes& aEvent);
   void handle(const ResponseEnd& aEvent);
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -98,6 +98,16 @@
              std::int64_t aStartedMs,
              Instant aUntil);
 
+  /// Records the requests per second that a server process accepts from all
+  /// gateways together, as stated in its newest response; nothing if it stated
+  /// none. Returns whether this is a change.
+  bool setRateLimit(const std::string& aServerId,
+                    std::int64_t aStartedMs,
+                    std::optional<double> aRate);
+
+  /// Returns the requests per second that a server accepts, if it limits them.
+  std::optional<double> rateLimit(const ServerRecord& aServer) const;
+
   /// Returns when the first paused server of a service accepts requests again,
   /// or nothing if none is paused.
   std::optional<Instant> firstResumption(const std::string& aService,
@@ -117,6 +127,7 @@
     std::int64_t startedMs = 0; ///< Of the process.
     bool isLeaving = false;
     Instant pausedUntil{};
+    std::optional<double> rateLimit;
   };
   /// Returns the notice of a server process for an update, or null if a later
   /// process of the server is known.
--- /dev/null
+++ b/gateway/src/request_forwarder_dispatch.cpp
@@ -0,0 +1,120 @@
+// How the server of an attempt is chosen and the request sent to it.
+
+#include "laburnum/gateway/request_forwarder.hpp"
+
+#include "end_to_end.hpp"
+#include "laburnum/kernel/hash.hpp"
+#include "laburnum/kernel/log.hpp"
+
+#include <algorithm>
+
+namespace laburnum::gateway {
+namespace {
+
+namespace bhttp = http::beast::http;
+
+/// Connecting within the region takes a few ms; a lost SYN packet is
+/// retransmitted only after a second.
+constexpr Duration kConnectTimeout = milliseconds(300);
+/// An attempt of an idempotent request times out after this multiple of the
+/// latency objective, and is then retried on another server.
+constexpr double kAttemptTimeoutFactor = 2.5;
+
+} // namespace
+
+void
+RequestForwarder::dispatch()
+{
+  const Instant now = mContext.loop.now();
+  if (isQuarantined()) {
+    execute(mRetryController->refused(Error::Quarantined));
+    return;
+  }
+  const auto servers = mContext.servers.readyServers(mService->name, now);
+  const ServerRecord* server =
+    mContext.selector.select(servers, mDemand, mTriedServers, now);
+  if (server == nullptr && !mTriedServers.empty()) {
+    server = mContext.selector.select(servers, mDemand, {}, now);
+  }
+  if (server == nullptr) {
+    execute(mRetryController->refused(Error::NoServer));
+    return;
+  }
+  sendTo(*server);
+}
+
+http::Request
+RequestForwarder::buildRequest(const ServerRecord& aServer) const
+{
+  const HeaderNames& names = mContext.names;
+  http::Request request;
+  request.version(11);
+  request.method_string(mRequest.method_string());
+  request.target(mRequest.target());
+  copyEndToEnd(mRequest, request);
+  request.erase(bhttp::field::authorization);
+  request.erase(bhttp::field::expect);
+  request.erase(names.account);
+  if (!mAccount.empty()) {
+    request.set(names.account, mAccount);
+  }
+  request.set(names.expectInstance, aServer.id);
+  request.set(
+    names.deadlineMs,
+    std::to_string(std::max<std::int64_t>(
+      1, std::chrono::duration_cast<milliseconds>(remainingTime()).count())));
+  if (mEventSequence.lastId()) {
+    request.set(names.lastEventId, std::to_string(*mEventSequence.lastId()));
+  }
+  request.body() = mRequest.body();
+  request.prepare_payload();
+  return request;
+}
+
+void
+RequestForwarder::sendTo(const ServerRecord& aServer)
+{
+  // On a connection that has carried an attempt of this request, a repeated
+  // response to that attempt would pass for the response to this one.
+  const bool requireNew =
+    !mRoute->isRetryable() || mTriedServers.contains(aServer.id);
+  auto connection =
+    mContext.pool.acquire(aServer, mService->maxConnections, requireNew);
+  if (!connection) {
+    mTriedServers.insert(aServer.id);
+    execute(mRetryController->refused(Error::NoServer));
+    return;
+  }
+  mServerId = aServer.id;
+  mServerProcess =
+    mix(hash64(aServer.id), static_cast<std::uint64_t>(aServer.startedMs));
+  mServerAddress = aServer.address;
+  mServerStartedMs = aServer.startedMs;
+  mConnection = connection;
+  mTriedServers.insert(aServer.id);
+  mRetryController->attemptStarted();
+  mSentAt = mContext.loop.now();
+  mContext.selector.requestStarted(mServerId, mDemand, mSentAt);
+  mIsEventStream = false;
+  mAttemptHasEvents = false;
+  mResponse = {};
+  mSplitter = {};
+  if (mRoute->type == RouteType::Idempotent) {
+    const Duration attemptTimeout =
+      fromSeconds(toSeconds(mRoute->latencyObjective) * kAttemptTimeoutFactor);
+    startTimer(std::min(attemptTimeout, remainingTime()), true);
+  }
+  connection->send(
+    buildRequest(aServer),
+    std::min(kConnectTimeout,
+             std::max(remainingTime(), milliseconds(1) + Duration(0))),
+    [self = shared_from_this(),
+     expected = connection.get()](ServerEvent aEvent) {
+      if (self->mConnection.get() != expected) {
+        return;
+      }
+      std::visit([&self](const auto& aTyped) { self->handle(aTyped); }, aEvent);
+    });
+}
+
+} // namespace laburnum::gateway
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -183,6 +183,30 @@
   }
 }
 
+bool
+ServerList::setRateLimit(const std::string& aServerId,
+                         std::int64_t aStartedMs,
+                         std::optional<double> aRate)
+{
+  const auto found = mNotices.find(aServerId);
+  if (!aRate && found == mNotices.end()) {
+    return false;
+  }
+  Notice* notice = noticeOf(aServerId, aStartedMs);
+  if (notice == nullptr || notice->rateLimit == aRate) {
+    return false;
+  }
+  notice->rateLimit = aRate;
+  return true;
+}
+
+std::optional<double>
+ServerList::rateLimit(const ServerRecord& aServer) const
+{
+  const Notice* notice = currentNotice(aServer);
+  return notice == nullptr ? std::nullopt : notice->rateLimit;
+}
+
 std::vector<const ServerRecord*>
 ServerList::readyServers(const std::string& aService, Instant aNow) const
 {
