Gateway: failing test of the rate limit of servers (LIMIT)

Two servers that state 2 requests a second get 55 and 67 within four seconds from one gateway, 234 and 242 from four; 17 are allowed.

--- /dev/null
+++ b/gateway/tests/incident_server_limit.cpp
@@ -0,0 +1,209 @@
+#include "laburnum/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::gateway;
+
+namespace {
+
+namespace bhttp = http::beast::http;
+using asio::redirect_error;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using Socket = ClientConnection::Socket;
+
+constexpr double kRate = 2;
+/// Time that gateways have to learn a rate limit.
+constexpr Duration kLearningTime = milliseconds(500);
+
+/// A backend server that states a rate limit in each response and records when
+/// requests arrive.
+class LimitedServer
+{
+public:
+  explicit LimitedServer(Loop& aLoop)
+    : mLoop(aLoop)
+    , mAcceptor(aLoop.context(),
+                tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , mPort(mAcceptor.local_endpoint().port())
+  {
+    mLoop.spawn(accept());
+  }
+
+  ServerRecord record(std::string aId) const
+  {
+    return { .id = std::move(aId),
+             .service = "s",
+             .address = { "127.0.0.1", mPort },
+             .startedMs = 1 };
+  }
+
+  /// Largest number of requests within a span of the given length, of those
+  /// that arrived after a point in time.
+  std::size_t mostWithin(Duration aLength, Instant aSince) const
+  {
+    std::size_t most = 0;
+    for (auto first = mArrivals.begin(); first != mArrivals.end(); ++first) {
+      const auto last =
+        std::upper_bound(first, mArrivals.end(), *first + aLength);
+      if (*first >= aSince) {
+        most = std::max(most, static_cast<std::size_t>(last - first));
+      }
+    }
+    return most;
+  }
+
+private:
+  asio::awaitable<void> accept()
+  {
+    boost::system::error_code error;
+    while (!error) {
+      Socket socket =
+        co_await mAcceptor.async_accept(redirect_error(use_awaitable, error));
+      if (!error) {
+        mLoop.spawn(serve(std::move(socket)));
+      }
+    }
+  }
+
+  asio::awaitable<void> serve(Socket aSocket)
+  {
+    http::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    for (;;) {
+      http::Request request;
+      co_await bhttp::async_read(
+        aSocket, buffer, request, redirect_error(use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+      mArrivals.push_back(mLoop.now());
+      const std::string text =
+        "HTTP/1.1 200 OK\r\nLaburnum-Signature: s\r\nLaburnum-Rate-Limit: " +
+        std::to_string(kRate) +
+        "\r\nLaburnum-Attempt: " + std::string(request["Laburnum-Attempt"]) +
+        "\r\nContent-Length: 0\r\n\r\n";
+      co_await asio::async_write(
+        aSocket, asio::buffer(text), redirect_error(use_awaitable, error));
+    }
+  }
+
+  Loop& mLoop;
+  asio::basic_socket_acceptor<tcp, http::Executor> mAcceptor;
+  std::uint16_t mPort;
+  std::vector<Instant> mArrivals;
+};
+
+/// Gateways of a deployment that has plain services only, each with a client
+/// that repeats its request until the loop ends.
+struct FleetFixture
+{
+  FleetFixture(std::size_t aGateways, std::size_t aServers)
+  {
+    for (std::size_t i = 0; i < aServers; ++i) {
+      servers.push_back(std::make_unique<LimitedServer>(loop));
+    }
+    for (std::size_t i = 0; i < aGateways; ++i) {
+      startGateway();
+    }
+  }
+
+  void startGateway()
+  {
+    settings.push_back(std::make_unique<contract::Settings>(
+      contract::Settings{ .instance = "g-" + std::to_string(settings.size()),
+                          .role = contract::Role::Gateway,
+                          .failureDomain = "a" }));
+    gateways.push_back(
+      std::make_unique<Gateway>(loop, *settings.back(), HeaderNames{}));
+    gateways.back()->start();
+    Configuration configuration{ .version = 1 };
+    configuration.routes = { { .name = "r",
+                               .host = "h",
+                               .pathPrefix = "/",
+                               .targets = { { .service = "s" } },
+                               .timeout = seconds(5),
+                               .isPublic = true } };
+    configuration.services["s"] = { .name = "s" };
+    gateways.back()->applyConfiguration(std::move(configuration));
+    std::vector<ServerRecord> records;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      records.push_back(servers[i]->record("i-" + std::to_string(i)));
+    }
+    gateways.back()->replaceServers(records);
+    loop.spawn(
+      repeatRequests(gateways.back()->clientAddress().port, milliseconds(20)));
+  }
+
+  asio::awaitable<void> repeatRequests(std::uint16_t aPort, Duration aPause)
+  {
+    for (;;) {
+      Socket socket(loop.context());
+      boost::system::error_code error;
+      co_await socket.async_connect(
+        tcp::endpoint(asio::ip::address_v4::loopback(), aPort),
+        redirect_error(use_awaitable, error));
+      const std::string text =
+        "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Laburnum-Attempt: a1\r\nContent-Length: 0\r\n\r\n";
+      co_await asio::async_write(
+        socket, asio::buffer(text), redirect_error(use_awaitable, error));
+      std::string received;
+      co_await asio::async_read(socket,
+                                asio::dynamic_buffer(received),
+                                redirect_error(use_awaitable, error));
+      received.starts_with("HTTP/1.1 200") ? ++served : ++refused;
+      co_await loop.sleep(aPause);
+    }
+  }
+
+  void run(Duration aTime)
+  {
+    loop.spawn([](Loop& aLoop, Duration aTime) -> asio::awaitable<void> {
+      co_await aLoop.sleep(aTime);
+      aLoop.stop();
+    }(loop, aTime));
+    loop.run();
+    loop.context().restart();
+  }
+
+  /// Checks that no server got more within four seconds than one and a half
+  /// times its limit and five requests.
+  void checkArrivals(Instant aSince) const
+  {
+    for (const auto& server : servers) {
+      CHECK(static_cast<double>(server->mostWithin(seconds(4), aSince)) <=
+            1.5 * kRate * 4 + 5);
+    }
+  }
+
+  Loop loop;
+  std::vector<std::unique_ptr<LimitedServer>> servers;
+  std::vector<std::unique_ptr<contract::Settings>> settings;
+  std::vector<std::unique_ptr<Gateway>> gateways;
+  int served = 0;
+  int refused = 0;
+};
+
+} // namespace
+
+TEST_CASE("serverLimit_oneGateway_receivesNoMoreThanItsLimit")
+{
+  FleetFixture fleet(1, 2);
+  fleet.run(seconds(3));
+  fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
+}
+
+TEST_CASE("serverLimit_fourGateways_receivesNoMoreThanItsLimit")
+{
+  FleetFixture fleet(4, 2);
+  fleet.run(seconds(3));
+  fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
+}
