Gateways: share the rate limit that a server states (LIMIT)

Callers saw nothing; a server that had named a limit was sent as much as before, up to several times its limit.

A limit kept by each gateway by itself would allow N times as much, and equal shares of a few requests a second leave a share unused at most of 60 gateways, or add up to bursts of 60. So one gateway, the one registered for longest, issues the permits for all (policy::PermitIssuer); the others ask it before each request to such a server, repeats and moved streams included. A denied server is passed over until its next permit; if none is left, the request is refused at once with that time as Retry-After. While the issuer does not answer, each gateway keeps to its equal share. Gateways find each other by objects in the store, read at the start and while limits are in force only, so this holds without stewards too.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/agent/agent.hpp"
 #include "laburnum/entry/entry.hpp"
 #include "laburnum/gateway/gateway.hpp"
+#include "laburnum/platform/peer_registry.hpp"
 #include "laburnum/platform/users_directory.hpp"
 #include "laburnum/platform/users_engine.hpp"
 #include "laburnum/platform/users_protocol.hpp"
@@ -83,6 +84,8 @@
   Loop loop;
   gateway::Gateway gateway(loop, aSettings, platform::users::kHeaders);
   platform::users::ConfigurationWatcher directory(loop, aSettings, gateway);
+  platform::users::PeerRegistry peers(
+    loop, aSettings, gateway.context().permits);
   asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
   try {
     gateway.start();
@@ -91,6 +94,7 @@
     return kExitStart;
   }
   directory.start();
+  peers.start();
   handleGatewaySignals(signals, gateway);
   loop.run();
   std::fflush(nullptr);
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -5,6 +5,7 @@
 #include "laburnum/gateway/crash_suspicions.hpp"
 #include "laburnum/gateway/drain_policy.hpp"
 #include "laburnum/gateway/group_admission.hpp"
+#include "laburnum/gateway/permit_exchange.hpp"
 #include "laburnum/gateway/protocol.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
 #include "laburnum/gateway/server_list.hpp"
@@ -28,6 +29,7 @@
 struct Context
 {
   Context(Loop& aLoop,
+          const contract::Settings& aSettings,
           HeaderNames aNames,
           ServerSelectorOptions aSelectorOptions,
           RetryBudgetOptions aRetryBudgetOptions)
@@ -36,6 +38,7 @@
     , selector(std::move(aSelectorOptions))
     , pool(aLoop)
     , probe(aLoop)
+    , permits(aLoop, aSettings)
     , retryBudgetOptions(aRetryBudgetOptions)
     , random(entropySeed())
   {
@@ -55,6 +58,7 @@
   ServerSelector selector;
   ConnectionPool pool;
   ServerProbe probe;
+  PermitExchange permits;
   RetryBudgetOptions retryBudgetOptions;
   std::map<std::string, RetryBudget> retryBudgets;  ///< By service.
   std::map<std::string, GroupAdmission> admissions; ///< By service.
--- /dev/null
+++ b/gateway/include/laburnum/gateway/permit_exchange.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "laburnum/gateway/peer_list.hpp"
+#include "laburnum/gateway/server_list.hpp"
+#include "laburnum/http/client.hpp"
+#include "laburnum/http/server.hpp"
+#include "laburnum/policy/permit_issuer.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace laburnum::gateway {
+
+/// Lets all gateways together keep to the rate that a server accepts: one of
+/// them issues the permits for all (see `PeerList`), the others ask it for each
+/// request to such a server. While the issuer does not answer, each gateway
+/// issues its equal share to itself.
+///
+/// Thread safety: loop thread only.
+class PermitExchange
+{
+public:
+  /// @pre The references outlive this object.
+  PermitExchange(Loop& aLoop, const contract::Settings& aSettings);
+
+  /// Starts to answer requests of other gateways. Throws
+  /// `boost::system::system_error` if the address cannot be bound.
+  /// @pre Called once.
+  void start();
+
+  /// This gateway, to be registered for others.
+  /// @pre `start` was called.
+  Peer self() const;
+
+  /// Sets the gateways of the deployment, this one included.
+  void setPeers(std::vector<Peer> aPeers);
+
+  /// Number of registered gateways, as last read.
+  std::size_t peerCount() const { return mPeers.size(); }
+
+  /// The gateways whose registrations can be removed. See `PeerList`.
+  std::vector<Peer> gonePeers() const { return mPeers.gonePeers(); }
+
+  /// Called when this gateway begins to stop: another one issues the permits.
+  void stopIssuing()
+  {
+    mPeers.setOwnLeaving();
+    mIsStopping = true;
+  }
+
+  /// Sets the function that reads the gateways of the deployment anew. It is
+  /// called from time to time while there are servers with a rate limit.
+  void onPeersNeeded(std::function<void()> aHandler)
+  {
+    mReadPeers = std::move(aHandler);
+  }
+
+  /// Returns whether one request may be sent to a server that accepts `aRate`
+  /// requests per second, and how long to wait before; see `PermitIssuer`.
+  asio::awaitable<policy::PermitIssuer::Reply> request(std::string aServerId,
+                                                       std::int64_t aStartedMs,
+                                                       double aRate,
+                                                       Duration aMaxWait);
+
+private:
+  using Reply = policy::PermitIssuer::Reply;
+
+  asio::awaitable<void> answer(http::Session& aSession, http::Request aRequest);
+  asio::awaitable<std::optional<Reply>> ask(Peer aPeer, std::string aBody);
+  void readPeersIfOld();
+
+  Loop& mLoop;
+  const contract::Settings& mSettings;
+  contract::Limits mLimits;
+  std::optional<http::Server> mServer;
+  std::int64_t mRegisteredMs;
+  bool mIsStopping = false;
+  PeerList mPeers;
+  std::map<contract::Address, std::unique_ptr<http::ClientPool>> mPools;
+  policy::PermitIssuer mIssuer;   ///< Of permits for all gateways.
+  policy::PermitIssuer mOwnShare; ///< While no issuer answers.
+  std::function<void()> mReadPeers;
+  Instant mPeersReadAt{};
+};
+
+} // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -49,6 +49,9 @@
   bool checkGroupAdmission();
 
   void dispatch();
+  /// Sends to a server that limits the rate of requests, or selects another
+  /// one if its limit is reached.
+  asio::awaitable<void> sendWithPermit(ServerRecord aServer, double aRate);
   void sendTo(const ServerRecord& aServer);
   http::Request buildRequest(const ServerRecord& aServer) const;
   void handle(const ResponseHead& aEvent);
@@ -56,7 +59,7 @@
   void pauseServer();
   /// Records the rate of requests that the server accepts.
   void updateRateLimit();
-  Duration noServerRetryAfter() const;
+  Duration noServerRetryAfter(Error aReason) const;
   void handle(const ResponseBytes& aEvent);
   void handle(const ResponseEnd& aEvent);
   void handle(const ConnectionLost& aEvent);
@@ -98,6 +101,7 @@
   asio::steady_timer mTimer;
   asio::steady_timer mAttemptTimer;
   std::set<std::string> mTriedServers;
+  int mPermitDenials = 0; ///< Since the last attempt.
   std::string mServerId;
   policy::CrashId mServerProcess = 0; ///< Process of `mServerId`.
   contract::Address mServerAddress;
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -88,6 +88,9 @@
   std::vector<const ServerRecord*> readyServers(const std::string& aService,
                                                 Instant aNow) const;
 
+  /// True if a server process is one of the `readyServers` of its service.
+  bool isReady(const ServerRecord& aServer, Instant aNow) const;
+
   /// Excludes a server process that said that it is leaving, or whose address
   /// now belongs to another server. It stays excluded if its entry lapses and
   /// returns.
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -58,6 +58,7 @@
   : mLoop(aLoop)
   , mSettings(aSettings)
   , mContext(aLoop,
+             mSettings,
              aNames,
              selectorOptions(aSettings),
              retryBudgetOptions(aSettings))
@@ -90,6 +91,7 @@
                        return handleOperatorRequest(aSession,
                                                     std::move(aRequest));
                      });
+  mContext.permits.start();
   log(LogLevel::Info,
       "started",
       { { "callers", clientAddress().text() },
@@ -327,6 +329,7 @@
                  .endsAt =
                    mLoop.now() + mSettings.gateway.stopGrace - kStopMargin };
   log(LogLevel::Info, "draining");
+  mContext.permits.stopIssuing();
   mLoop.spawn(drain());
 }
 
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -286,15 +286,16 @@
            .retryAfter = aDecision.error == Error::Quarantined
                            ? mContext.crashSuspicions.remainingRefusal(
                                mContent, mContext.loop.now())
-                           : noServerRetryAfter() });
+                           : noServerRetryAfter(aDecision.error) });
 }
 
 Duration
-RequestForwarder::noServerRetryAfter() const
+RequestForwarder::noServerRetryAfter(Error aReason) const
 {
   const Instant now = mContext.loop.now();
   const auto resumption =
-    mContext.servers.readyServers(mService->name, now).empty()
+    aReason == Error::ServerRateLimited ||
+        mContext.servers.readyServers(mService->name, now).empty()
       ? mContext.servers.firstResumption(mService->name, now)
       : std::nullopt;
   return resumption ? *resumption - now : kNoServerRetryAfter;
--- a/gateway/src/request_forwarder_dispatch.cpp
+++ b/gateway/src/request_forwarder_dispatch.cpp
@@ -19,6 +19,10 @@
 /// An attempt of an idempotent request times out after this multiple of the
 /// latency objective, and is then retried on another server.
 constexpr double kAttemptTimeoutFactor = 2.5;
+/// Fraction of the latency objective that a request may wait for a permit.
+constexpr double kPermitWaitFraction = 0.25;
+/// Servers that may deny a permit before the request is refused.
+constexpr int kMaxPermitDenials = 4;
 
 } // namespace
 
@@ -37,10 +41,45 @@
     server = mContext.selector.select(servers, mDemand, {}, now);
   }
   if (server == nullptr) {
-    execute(mRetryController->refused(Error::NoServer));
+    execute(mRetryController->refused(
+      mPermitDenials > 0 ? Error::ServerRateLimited : Error::NoServer));
     return;
   }
-  sendTo(*server);
+  if (const auto rate = mContext.servers.rateLimit(*server)) {
+    mContext.loop.spawn(sendWithPermit(*server, *rate));
+  } else {
+    sendTo(*server);
+  }
+}
+
+asio::awaitable<void>
+RequestForwarder::sendWithPermit(ServerRecord aServer, double aRate)
+{
+  const auto self = shared_from_this();
+  const auto reply = co_await mContext.permits.request(
+    aServer.id,
+    aServer.startedMs,
+    aRate,
+    fromSeconds(toSeconds(mRoute->latencyObjective) * kPermitWaitFraction));
+  if (reply.isGranted && reply.wait > Duration(0)) {
+    co_await mContext.loop.sleep(reply.wait);
+  }
+  if (mFinished) {
+    co_return;
+  }
+  const Instant now = mContext.loop.now();
+  if (!reply.isGranted) {
+    mContext.servers.pause(aServer.id, aServer.startedMs, now + reply.wait);
+    if (++mPermitDenials >= kMaxPermitDenials) {
+      execute(mRetryController->refused(Error::ServerRateLimited));
+      co_return;
+    }
+  } else if (mContext.servers.isReady(aServer, now)) {
+    mPermitDenials = 0;
+    sendTo(aServer);
+    co_return;
+  }
+  dispatch();
 }
 
 http::Request
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -183,6 +183,19 @@
   }
 }
 
+bool
+ServerList::isReady(const ServerRecord& aServer, Instant aNow) const
+{
+  const ServerRecord* current = find(aServer.id);
+  if (current == nullptr || current->startedMs != aServer.startedMs ||
+      current->isLeaving) {
+    return false;
+  }
+  const Notice* notice = currentNotice(*current);
+  return notice == nullptr ||
+         (!notice->isLeaving && notice->pausedUntil <= aNow);
+}
+
 bool
 ServerList::setRateLimit(const std::string& aServerId,
                          std::int64_t aStartedMs,
--- a/gateway/tests/incident_server_limit.cpp
+++ b/gateway/tests/incident_server_limit.cpp
@@ -105,7 +105,10 @@
 /// that repeats its request until the loop ends.
 struct FleetFixture
 {
-  FleetFixture(std::size_t aGateways, std::size_t aServers)
+  FleetFixture(std::size_t aGateways,
+               std::size_t aServers,
+               Duration aPause = milliseconds(20))
+    : pause(aPause)
   {
     for (std::size_t i = 0; i < aServers; ++i) {
       servers.push_back(std::make_unique<LimitedServer>(loop));
@@ -138,8 +141,19 @@
       records.push_back(servers[i]->record("i-" + std::to_string(i)));
     }
     gateways.back()->replaceServers(records);
-    loop.spawn(
-      repeatRequests(gateways.back()->clientAddress().port, milliseconds(20)));
+    loop.spawn(repeatRequests(gateways.back()->clientAddress().port, pause));
+  }
+
+  /// Tells every gateway which gateways there are.
+  void connectPeers()
+  {
+    std::vector<Peer> peers;
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+      peers.push_back(gateways[i]->context().permits.self());
+    }
+    for (const auto& gateway : gateways) {
+      gateway->context().permits.setPeers(peers);
+    }
   }
 
   asio::awaitable<void> repeatRequests(std::uint16_t aPort, Duration aPause)
@@ -185,6 +199,7 @@
   }
 
   Loop loop;
+  Duration pause; ///< Of a client between two requests.
   std::vector<std::unique_ptr<LimitedServer>> servers;
   std::vector<std::unique_ptr<contract::Settings>> settings;
   std::vector<std::unique_ptr<Gateway>> gateways;
@@ -197,6 +212,7 @@
 TEST_CASE("serverLimit_oneGateway_receivesNoMoreThanItsLimit")
 {
   FleetFixture fleet(1, 2);
+  fleet.connectPeers();
   fleet.run(seconds(3));
   fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
 }
@@ -204,6 +220,51 @@
 TEST_CASE("serverLimit_fourGateways_receivesNoMoreThanItsLimit")
 {
   FleetFixture fleet(4, 2);
+  fleet.connectPeers();
+  fleet.run(seconds(3));
+  fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
+  CHECK(fleet.served > 0);
+}
+
+TEST_CASE("serverLimit_sixtyGateways_receivesNoMoreThanItsLimit")
+{
+  FleetFixture fleet(60, 2, milliseconds(300));
+  fleet.connectPeers();
+  fleet.run(seconds(4));
+  fleet.checkArrivals(fleet.loop.now() - seconds(4) + seconds(2));
+  CHECK(fleet.served > 0);
+}
+
+TEST_CASE("serverLimit_issuerStops_receivesNoMoreThanItsLimit")
+{
+  FleetFixture fleet(4, 2);
+  fleet.connectPeers();
+  fleet.run(seconds(1));
+  const int served = fleet.served;
+  fleet.gateways.front()->context().permits.stopIssuing();
+  fleet.run(seconds(3));
+  fleet.checkArrivals(fleet.loop.now() - seconds(4) + kLearningTime);
+  CHECK(fleet.served > served);
+}
+
+TEST_CASE("serverLimit_gatewayRestarted_receivesNoMoreThanItsLimit")
+{
+  FleetFixture fleet(4, 2);
+  fleet.connectPeers();
+  fleet.run(seconds(1));
+  fleet.startGateway(); // Does not know the limits yet.
+  fleet.connectPeers();
+  fleet.run(seconds(3));
+  fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
+}
+
+TEST_CASE("serverLimit_otherGatewaysCutOff_ownShareIsUsed")
+{
+  FleetFixture fleet(1, 2);
+  Peer lost{ .instance = "lost", .address = { "127.0.0.1", 1 } };
+  Peer alsoLost{ .instance = "also-lost", .address = { "127.0.0.1", 2 } };
+  fleet.gateways.front()->context().permits.setPeers({ lost, alsoLost });
   fleet.run(seconds(3));
   fleet.checkArrivals(fleet.loop.now() - seconds(3) + kLearningTime);
+  CHECK(fleet.served > 0);
 }
--- a/gateway/tests/unit_group_follower.cpp
+++ b/gateway/tests/unit_group_follower.cpp
@@ -113,7 +113,7 @@
   contract::Settings settings{ .instance = "g",
                                .role = contract::Role::Gateway,
                                .failureDomain = "a" };
-  Context context{ loop, HeaderNames{}, {}, {} };
+  Context context{ loop, settings, HeaderNames{}, {}, {} };
   StoreFreshness freshness;
   std::optional<GroupStatus> heard;
   GroupFollower follower{
--- a/kernel/include/laburnum/kernel/error.hpp
+++ b/kernel/include/laburnum/kernel/error.hpp
@@ -50,7 +50,8 @@
   RequestTimeout = 33,
   ObjectTooLarge = 34,
   OldOrder = 35,
-  OrderRefused = 36
+  OrderRefused = 36,
+  ServerRateLimited = 37
 };
 
 /// The fixed facts about an error identifier.
--- a/kernel/src/error.cpp
+++ b/kernel/src/error.cpp
@@ -7,7 +7,7 @@
 
 using enum Error;
 
-constexpr std::array<ErrorInfo, 37> kErrors{ {
+constexpr std::array<ErrorInfo, 38> kErrors{ {
   { None, "LB-NONE", 200, "No error.", "None needed." },
   { MalformedRequest,
     "LB-MALFORMED-REQUEST",
@@ -194,6 +194,12 @@
     "The backend server can't load the model now, or failed to.",
     "Look at the agent's and the backend server's logs; the order is given "
     "again while the model is wanted." },
+  { ServerRateLimited,
+    "LB-SERVER-RATE-LIMITED",
+    503,
+    "The backend servers accept no more requests per second.",
+    "Wait for Retry-After; look for server_rate_limit in the log of the "
+    "gateways, and at the backend servers that it names." },
 } };
 
 class Category final : public std::error_category
