Gateway: keep idle connections to a server below its cap, by number of gateways

Cause: each of 18 gateways kept up to a fifth of the cap, and work that may run once opens a new connection each time, so idle ones pile up. Class: a constant that came from a deployment of four gateways.

Idle connections of all gateways together now stay below half of the cap, divided by the registered gateways.

--- a/gateway/include/laburnum/gateway/connection_pool.hpp
+++ b/gateway/include/laburnum/gateway/connection_pool.hpp
@@ -3,6 +3,7 @@
 #include "laburnum/gateway/server_connection.hpp"
 #include "laburnum/gateway/server_list.hpp"
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
@@ -15,6 +16,8 @@
   /// The connection limit of a server applies to all gateways together; each
   /// uses at most this fraction of it.
   double connectionShare = 0.2;
+  /// Fraction of the limit for idle connections of all gateways together.
+  double idleShare = 0.5;
   /// Idle connections are closed this long before the server would close them;
   /// servers may announce their timeout in whole seconds only.
   Duration idleMargin = milliseconds(1500);
@@ -38,6 +41,15 @@
                                             std::size_t aMaxConnections,
                                             bool aRequireNew);
 
+  /// Sets the number of gateways that share the limits of the servers.
+  void setGateways(std::size_t aGateways)
+  {
+    mGateways = std::max<std::size_t>(1, aGateways);
+  }
+
+  /// Number of idle connections to a server.
+  std::size_t idleCount(const std::string& aServerId) const;
+
   /// Returns a connection to the pool after the response ended or the
   /// connection was lost.
   /// @pre The connection is from `acquire`.
@@ -63,6 +75,7 @@
   ConnectionPoolOptions mOptions;
   std::map<std::string, Server> mServers;
   std::uint64_t mOpenedCount = 0;
+  std::size_t mGateways = 1;
 };
 
 } // namespace laburnum::gateway
--- a/gateway/include/laburnum/gateway/permit_exchange.hpp
+++ b/gateway/include/laburnum/gateway/permit_exchange.hpp
@@ -57,6 +57,13 @@
     mReadPeers = std::move(aHandler);
   }
 
+  /// Sets a function that is called with the number of gateways when they have
+  /// been read.
+  void onPeersChanged(std::function<void(std::size_t)> aHandler)
+  {
+    mPeersChanged = std::move(aHandler);
+  }
+
   /// Returns whether one request may be sent to a server that accepts `aRate`
   /// requests per second, and how long to wait before; see `PermitIssuer`.
   asio::awaitable<policy::PermitIssuer::Reply> request(std::string aServerId,
@@ -82,6 +89,7 @@
   policy::PermitIssuer mIssuer;   ///< Of permits for all gateways.
   policy::PermitIssuer mOwnShare; ///< While no issuer answers.
   std::function<void()> mReadPeers;
+  std::function<void(std::size_t)> mPeersChanged;
   Instant mPeersReadAt{};
 };
 
--- a/gateway/src/connection_pool.cpp
+++ b/gateway/src/connection_pool.cpp
@@ -47,7 +47,12 @@
   if (server.busy >= bound) {
     return nullptr;
   }
-  if (server.busy + server.idle.size() >= bound && !server.idle.empty()) {
+  const std::size_t maxIdle =
+    std::min(bound - server.busy - 1,
+             static_cast<std::size_t>(static_cast<double>(aMaxConnections) *
+                                      mOptions.idleShare) /
+               mGateways);
+  while (server.idle.size() > maxIdle) {
     server.idle.front()->abort();
     server.idle.pop_front();
   }
@@ -73,6 +78,13 @@
   });
 }
 
+std::size_t
+ConnectionPool::idleCount(const std::string& aServerId) const
+{
+  const auto found = mServers.find(aServerId);
+  return found == mServers.end() ? 0 : found->second.idle.size();
+}
+
 void
 ConnectionPool::closeIdle(const std::string& aServerId)
 {
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -91,6 +91,8 @@
                        return handleOperatorRequest(aSession,
                                                     std::move(aRequest));
                      });
+  mContext.permits.onPeersChanged(
+    [this](std::size_t aGateways) { mContext.pool.setGateways(aGateways); });
   mContext.permits.start();
   log(LogLevel::Info,
       "started",
--- a/gateway/src/permit_exchange.cpp
+++ b/gateway/src/permit_exchange.cpp
@@ -65,6 +65,9 @@
 {
   mPeersReadAt = mLoop.now();
   mPeers.replace(std::move(aPeers));
+  if (mPeersChanged) {
+    mPeersChanged(mPeers.size());
+  }
 }
 
 void
