Gateway: read the store anew when it has been restored from a copy (CONFIG)

What operators elsewhere saw: a confirmed change that was not in force in time.

Cause: revisions were taken to grow for ever. Class: a number that a peer gives out, compared across lives of that peer. Store-Era is now part of every position in the store: a reply of a new era ends the watches, and the lists are read anew; a process known as leaving or gone stays excluded until its entry changes; one missing in the copy stays in use for the grace period of an outage. The same cause elsewhere: the newest revision that gateways and stewards tell each other (StoreNews, now one type in contract) compares eras first; gateways register again. A lower configuration version was never taken, as before.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -93,6 +93,7 @@
     std::fprintf(stderr, "cannot start: %s\n", error.what());
     return kExitStart;
   }
+  directory.onStoreRestored([&peers] { peers.refresh(); });
   directory.start();
   peers.start();
   handleGatewaySignals(signals, gateway);
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -32,6 +32,9 @@
 
   /// Replaces the list of servers. See `ServerList::replace`.
   void replaceServers(const std::vector<ServerRecord>& aRecords);
+  /// Replaces the list by one of an older copy. See
+  /// `ServerList::replaceByCopy`.
+  void replaceServersByCopy(const std::vector<ServerRecord>& aRecords);
   /// Applies changes to the list of servers. See `ServerList::apply`.
   void changeServers(const std::vector<ServerChange>& aChanges);
   /// Called when the source of the server list becomes unavailable, and when it
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -64,6 +64,14 @@
   std::vector<std::string> replace(const std::vector<ServerRecord>& aRecords,
                                    Instant aNow);
 
+  /// Replaces the list by a complete one that is older than what is known: the
+  /// source was restored from a copy. Processes known to be leaving or gone
+  /// stay excluded until their entry changes; those that are missing remain in
+  /// use for a grace period, in which they register again.
+  std::vector<std::string> replaceByCopy(
+    const std::vector<ServerRecord>& aRecords,
+    Instant aNow);
+
   /// Applies changes since the last update.
   std::vector<std::string> apply(const std::vector<ServerChange>& aChanges,
                                  Instant aNow);
@@ -124,11 +132,13 @@
     ServerRecord record;
     std::optional<Instant> missingSince; ///< Set in the grace period.
   };
-  /// What a server process said in its responses.
+  /// What is known of a server process beside its entry, mostly from its
+  /// responses.
   struct Notice
   {
     std::int64_t startedMs = 0; ///< Of the process.
     bool isLeaving = false;
+    bool isGone = false; ///< Its entry was removed.
     Instant pausedUntil{};
     std::optional<double> rateLimit;
   };
@@ -137,6 +147,9 @@
   Notice* noticeOf(const std::string& aServerId, std::int64_t aStartedMs);
   /// Returns the notice of the server process in the list, or null.
   const Notice* currentNotice(const ServerRecord& aRecord) const;
+  /// Removes an entry and remembers that its process is gone.
+  std::map<std::string, Entry>::iterator erase(
+    std::map<std::string, Entry>::iterator aEntry);
   bool inGracePeriod(Instant aNow) const;
   bool removeOrMarkMissing(const std::string& aServerId, Instant aNow);
   bool upsert(const ServerRecord& aRecord);
--- a/gateway/include/laburnum/gateway/store_freshness.hpp
+++ b/gateway/include/laburnum/gateway/store_freshness.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "laburnum/contract/store_news.hpp"
 #include "laburnum/kernel/random.hpp"
 #include "laburnum/kernel/time.hpp"
 
@@ -8,14 +9,7 @@
 
 namespace laburnum::gateway {
 
-/// The newest contents of the store that a gateway has seen.
-struct StoreNews
-{
-  std::uint64_t configurationVersion = 0;
-  std::uint64_t serversRevision = 0;
-
-  auto operator<=>(const StoreNews&) const = default;
-};
+using contract::StoreNews;
 
 /// Timing of `StoreFreshness`.
 struct StoreFreshnessOptions
@@ -57,7 +51,8 @@
 
   /// Records contents that this gateway has read itself.
   void recordConfiguration(std::uint64_t aVersion);
-  void recordServers(std::uint64_t aRevision);
+  /// `aEra`: see `StoreNews`; 0 if the store states none.
+  void recordServers(std::uint64_t aRevision, std::uint64_t aEra = 0);
   /// Records what other gateways have seen, and how many gateways there are.
   void recordTold(const StoreNews& aNews, int aGateways, Instant aNow);
 
@@ -73,7 +68,6 @@
 
 private:
   bool isTold(Instant aNow) const;
-  bool isBehind() const;
 
   StoreFreshnessOptions mOptions;
   StoreNews mOwn;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -221,6 +221,15 @@
   }
 }
 
+void
+Gateway::replaceServersByCopy(const std::vector<ServerRecord>& aRecords)
+{
+  retireServers(mContext.servers.replaceByCopy(aRecords, mLoop.now()),
+                "not in the copy");
+  mHasServers = mHasServers || mContext.servers.size() > 0;
+  mLoop.spawn(removeExpiredLater());
+}
+
 void
 Gateway::changeServers(const std::vector<ServerChange>& aChanges)
 {
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -160,7 +160,9 @@
   const Instant now = mContext.loop.now();
   Follow& follow = mFollows[aService];
   follow.heardAt = now;
-  mFreshness.recordTold({ aStatus.config_version, aStatus.servers_revision },
+  mFreshness.recordTold({ .configurationVersion = aStatus.config_version,
+                          .serversRevision = aStatus.servers_revision,
+                          .storeEra = aStatus.store_era },
                         static_cast<int>(aStatus.gateways),
                         now);
   if (!aStatus.servers.empty()) {
@@ -233,6 +235,7 @@
   wire::GatewayNewsT news;
   news.config_version = aFollow.toldNews.configurationVersion;
   news.servers_revision = aFollow.toldNews.serversRevision;
+  news.store_era = aFollow.toldNews.storeEra;
   aFollow.link->send(news);
 }
 
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -25,6 +25,10 @@
   const bool wasAvailable = !entry.record.id.empty() && !entry.record.isLeaving;
   entry.record = aRecord;
   entry.missingSince.reset();
+  const auto notice = mNotices.find(aRecord.id);
+  if (notice != mNotices.end()) {
+    notice->second.isGone = false;
+  }
   return wasAvailable && aRecord.isLeaving;
 }
 
@@ -41,10 +45,21 @@
     }
     return false;
   }
-  mRecords.erase(found);
+  erase(found);
   return true;
 }
 
+std::map<std::string, ServerList::Entry>::iterator
+ServerList::erase(std::map<std::string, Entry>::iterator aEntry)
+{
+  const ServerRecord record = aEntry->second.record;
+  const auto next = mRecords.erase(aEntry);
+  if (Notice* notice = noticeOf(record.id, record.startedMs)) {
+    notice->isGone = true;
+  }
+  return next;
+}
+
 std::vector<std::string>
 ServerList::replace(const std::vector<ServerRecord>& aRecords, Instant aNow)
 {
@@ -70,6 +85,30 @@
   return retired;
 }
 
+std::vector<std::string>
+ServerList::replaceByCopy(const std::vector<ServerRecord>& aRecords,
+                          Instant aNow)
+{
+  mSourceRestoredAt = aNow;
+  std::vector<ServerRecord> usable;
+  for (const ServerRecord& record : aRecords) {
+    const Notice* notice = currentNotice(record);
+    if (notice != nullptr && notice->isGone) {
+      continue;
+    }
+    const ServerRecord* known = find(record.id);
+    if (known != nullptr && known->startedMs > record.startedMs) {
+      usable.push_back(*known); // The copy has a former process.
+    } else {
+      usable.push_back(record);
+      usable.back().isLeaving =
+        record.isLeaving || (known != nullptr && known->isLeaving &&
+                             known->startedMs == record.startedMs);
+    }
+  }
+  return replace(usable, aNow);
+}
+
 std::vector<std::string>
 ServerList::apply(const std::vector<ServerChange>& aChanges, Instant aNow)
 {
@@ -109,7 +148,7 @@
   for (auto it = mRecords.begin(); it != mRecords.end();) {
     if (it->second.missingSince) {
       retired.push_back(it->first);
-      it = mRecords.erase(it);
+      it = erase(it);
     } else {
       ++it;
     }
--- a/gateway/src/store_freshness.cpp
+++ b/gateway/src/store_freshness.cpp
@@ -11,19 +11,16 @@
 }
 
 void
-StoreFreshness::recordServers(std::uint64_t aRevision)
+StoreFreshness::recordServers(std::uint64_t aRevision, std::uint64_t aEra)
 {
-  mOwn.serversRevision = std::max(mOwn.serversRevision, aRevision);
+  mOwn.merge({ .serversRevision = aRevision, .storeEra = aEra });
 }
 
 void
 StoreFreshness::recordTold(const StoreNews& aNews, int aGateways, Instant aNow)
 {
   mGateways = aGateways;
-  mTold.configurationVersion =
-    std::max(mTold.configurationVersion, aNews.configurationVersion);
-  mTold.serversRevision =
-    std::max(mTold.serversRevision, aNews.serversRevision);
+  mTold.merge(aNews);
   mToldAt = aNow;
 }
 
@@ -33,13 +30,6 @@
   return mToldAt && aNow - *mToldAt <= mOptions.maxNewsAge;
 }
 
-bool
-StoreFreshness::isBehind() const
-{
-  return mTold.configurationVersion > mOwn.configurationVersion ||
-         mTold.serversRevision > mOwn.serversRevision;
-}
-
 Duration
 StoreFreshness::watchWait(Instant aNow)
 {
@@ -62,7 +52,7 @@
     mWaitsLong = false;
     return true;
   }
-  if (!isBehind()) {
+  if (!mOwn.isBehind(mTold)) {
     mBehindSince.reset();
     return false;
   }
@@ -74,8 +64,7 @@
     return false;
   }
   // What remains behind after a restart is no longer in the store's history.
-  mOwn = { std::max(mOwn.configurationVersion, mTold.configurationVersion),
-           std::max(mOwn.serversRevision, mTold.serversRevision) };
+  mOwn.merge(mTold);
   mBehindSince.reset();
   return true;
 }
--- a/gateway/tests/unit_fleet.cpp
+++ b/gateway/tests/unit_fleet.cpp
@@ -277,3 +277,18 @@
     }
   }
 }
+
+TEST_CASE("store_freshness_storeRestored_lowerRevisionsOfTheNewEraAreNewer")
+{
+  StoreFreshness freshness;
+  freshness.recordServers(90, 1);
+  freshness.recordTold(
+    { .serversRevision = 70, .storeEra = 2 }, 60, kStartTime);
+  CHECK_FALSE(freshness.takeRestart(kStartTime));
+  CHECK(freshness.takeRestart(kStartTime + seconds(1)));
+  freshness.recordServers(80, 2);
+  CHECK(freshness.own() == StoreNews{ .serversRevision = 80, .storeEra = 2 });
+  freshness.recordTold(
+    { .serversRevision = 95, .storeEra = 1 }, 60, kStartTime + seconds(2));
+  CHECK_FALSE(freshness.takeRestart(kStartTime + seconds(3)));
+}
--- a/steward/include/laburnum/steward/group_summary.hpp
+++ b/steward/include/laburnum/steward/group_summary.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/contract/store_news.hpp"
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
@@ -10,18 +11,7 @@
 
 namespace laburnum::steward {
 
-/// The newest contents of the store that gateways have seen. Gateways that hear
-/// of newer contents than their own read the store again.
-struct StoreNews
-{
-  std::uint64_t configurationVersion = 0;
-  std::uint64_t serversRevision = 0;
-
-  auto operator<=>(const StoreNews&) const = default;
-
-  /// Takes over each number that is larger than the own one.
-  void merge(const StoreNews& aOther);
-};
+using contract::StoreNews;
 
 /// What the steward of a rank reports for the summary of its group.
 struct RankPresence
--- a/steward/src/frames.cpp
+++ b/steward/src/frames.cpp
@@ -234,8 +234,10 @@
   RankPresence presence{ .rank = aReport.rank,
                          .load = aReport.load,
                          .gateways = aReport.gateways,
-                         .news = { aReport.config_version,
-                                   aReport.servers_revision } };
+                         .news = { .configurationVersion =
+                                     aReport.config_version,
+                                   .serversRevision = aReport.servers_revision,
+                                   .storeEra = aReport.store_era } };
   if (const auto address = contract::parseAddress(aReport.server)) {
     presence.server = *address;
   }
--- a/steward/src/group_summary.cpp
+++ b/steward/src/group_summary.cpp
@@ -6,14 +6,6 @@
 
 namespace laburnum::steward {
 
-void
-StoreNews::merge(const StoreNews& aOther)
-{
-  configurationVersion =
-    std::max(configurationVersion, aOther.configurationVersion);
-  serversRevision = std::max(serversRevision, aOther.serversRevision);
-}
-
 void
 GroupSummary::update(const RankPresence& aPresence, Instant aNow)
 {
--- a/steward/src/steward_report.cpp
+++ b/steward/src/steward_report.cpp
@@ -104,6 +104,7 @@
   frame.gateways = static_cast<std::uint32_t>(mGatewayLinks.size());
   frame.config_version = mNews.configurationVersion;
   frame.servers_revision = mNews.serversRevision;
+  frame.store_era = mNews.storeEra;
   if (!mHasReportedExperts) {
     frame.server = mSettings.server.address.text();
   }
--- a/steward/src/steward_status.cpp
+++ b/steward/src/steward_status.cpp
@@ -39,7 +39,9 @@
 void
 Steward::processGatewayNews(const wire::GatewayNewsT& aNews)
 {
-  mNews.merge({ aNews.config_version, aNews.servers_revision });
+  mNews.merge({ .configurationVersion = aNews.config_version,
+                .serversRevision = aNews.servers_revision,
+                .storeEra = aNews.store_era });
   reportToKeeper();
 }
 
@@ -78,6 +80,7 @@
   }
   status.config_version = mSummary->news().configurationVersion;
   status.servers_revision = mSummary->news().serversRevision;
+  status.store_era = mSummary->news().storeEra;
   return status;
 }
 
