--- a/coordination/src/object_client.cpp
+++ b/coordination/src/object_client.cpp
@@ -1,5 +1,6 @@
 #include "laburnum/coordination/object_client.hpp"
 
+#include "laburnum/contract/reply_parser.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include <boost/json/parse.hpp>
@@ -28,12 +29,11 @@
 Result<json::value>
 parseBody(const http::Response& aResponse)
 {
-  json::error_code error;
-  json::value body = json::parse(aResponse.body(), error);
-  if (error || !body.is_object()) {
+  auto body = contract::parseReply(aResponse.body());
+  if (!body) {
     return unavailable("the platform's reply is not a JSON object");
   }
-  return body;
+  return std::move(*body);
 }
 
 Result<ObjectList>
--- a/coordination/tests/unit_object_client.cpp
+++ b/coordination/tests/unit_object_client.cpp
@@ -184,3 +184,14 @@
     }
   }
 }
+
+TEST_CASE_METHOD(PlatformFixture,
+                 "object_client_oneOddObject_doesNotHideTheOthers")
+{
+  body = R"({"items":[)" + std::string(kValidObject) + "," +
+         std::string(50, '[') + std::string(50, ']') +
+         R"(,{"version":1e99999999999},)" + kValidObject + R"(],"version":9})";
+  const auto list = runToCompletion(client.list("contract"));
+  REQUIRE(list);
+  CHECK(list->objects.size() == 2);
+}
