Gateway: answer what is still in progress when a planned stop ends

Late requests were not cut here (those that cannot end in time are refused), but one that was taken before, and whose server was still at work at the end of the grace, got a closed connection. It gets its verdict now: may have run, or not run if it was never sent.

gateway_serverStillAtWorkWhenTheStopEnds_requestIsAnswered fails without it.

--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -54,6 +54,9 @@
   /// Forwards to `RequestForwarder::migrateFrom` if a request is in progress.
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
 
+  /// Ends the request in progress, if any, as if its deadline had passed.
+  void expireRequest();
+
   /// Closes the connection if no request is in progress, has arrived or is to
   /// be expected: a client that has just connected sends one.
   void closeIfIdle();
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -75,6 +75,8 @@
   asio::awaitable<void> handleOperatorRequest(http::Session& aSession,
                                               http::Request aRequest);
   asio::awaitable<void> drain();
+  /// Answers the requests that are still in progress when the stop ends.
+  void expireRequests();
   asio::awaitable<void> removeExpiredLater();
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
   void migrateIfSlow(const ServerRecord& aServer);
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -33,6 +33,9 @@
   /// group for as long as it has any itself.
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
 
+  /// Ends the request as if its deadline had passed.
+  void expire();
+
   /// Cancels the request after the client closed the connection.
   void clientDisconnected();
 
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -347,6 +347,14 @@
   }
 }
 
+void
+ClientConnection::expireRequest()
+{
+  if (const auto forwarder = mForwarder) {
+    forwarder->expire();
+  }
+}
+
 bool
 ClientConnection::expectsRequest() const
 {
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -16,6 +16,8 @@
 /// Time before the exit of the process during which no connection is accepted,
 /// so that requests that arrived last are answered.
 constexpr Duration kLastRequestsTime = milliseconds(400);
+/// Time for the last answers to be sent before the process exits.
+constexpr Duration kLastAnswersTime = milliseconds(100);
 /// Interval of the checks for requests in progress while shutting down.
 constexpr Duration kDrainPollInterval = milliseconds(50);
 /// Interval of the checks for silent servers and stewards. Together with the
@@ -361,6 +363,17 @@
   mAcceptor.close(error);
 }
 
+void
+Gateway::expireRequests()
+{
+  const auto clients = mClients; // An answer may close connections.
+  for (const auto& weakClient : clients) {
+    if (const auto client = weakClient.lock()) {
+      client->expireRequest();
+    }
+  }
+}
+
 asio::awaitable<void>
 Gateway::drain()
 {
@@ -380,6 +393,10 @@
       co_await mLoop.sleep(kDrainPollInterval);
       continue;
     }
+    if (isBusy && mLoop.now() >= end) {
+      expireRequests();
+      co_await mLoop.sleep(kLastAnswersTime);
+    }
     if (!isBusy || mLoop.now() >= end) {
       log(LogLevel::Info, "stopped", { { "cut", isBusy } });
       mLoop.stop();
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -330,6 +330,14 @@
   execute(mRetryController->timedOut(inProgress));
 }
 
+void
+RequestForwarder::expire()
+{
+  if (!mFinished) {
+    onDeadline();
+  }
+}
+
 void
 RequestForwarder::clientDisconnected()
 {
--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -196,7 +196,11 @@
 struct GatewayFixture
 {
   explicit GatewayFixture(std::vector<std::vector<std::string>> aServers,
-                          int aMaxAttempts = 2)
+                          int aMaxAttempts = 2,
+                          Duration aStopGrace = seconds(8))
+    : settings{ .instance = "g",
+                .failureDomain = "a",
+                .gateway = { .stopGrace = aStopGrace } }
   {
     for (auto& texts : aServers) {
       servers.push_back(
@@ -299,7 +303,7 @@
 
   Loop loop;
   std::vector<std::unique_ptr<ScriptedServer>> servers;
-  contract::Settings settings{ .instance = "g", .failureDomain = "a" };
+  contract::Settings settings;
   Gateway gateway{ loop, settings, HeaderNames{} };
 };
 
--- a/gateway/tests/unit_gateway.cpp
+++ b/gateway/tests/unit_gateway.cpp
@@ -322,3 +322,23 @@
   CHECK(load.answered > 1000);
   CHECK(load.cut == 0);
 }
+
+TEST_CASE("gateway_serverStillAtWorkWhenTheStopEnds_requestIsAnswered")
+{
+  const std::string unfinished =
+    "HTTP/1.1 200 X\r\nLaburnum-Attempt: $ID\r\nLaburnum-Signature: s\r\n"
+    "Content-Length: 100\r\n\r\n";
+  for (const char* path : { "/once/x", "/safe/x" }) {
+    GatewayFixture fixture({ { unfinished } }, 1, seconds(3));
+    std::string received;
+    fixture.loop.spawn(
+      fixture.exchangeAsync("POST " + std::string(path) +
+                              " HTTP/1.1\r\nHost: h\r\nLaburnum-Attempt: a1\r\n"
+                              "Content-Length: 0\r\n\r\n",
+                            received));
+    fixture.gateway.stopGracefully();
+    fixture.loop.run();
+    CHECK(statusOf(received) == 504);
+    CHECK(received.find("may_have_run") != std::string::npos);
+  }
+}
