--- a/gateway/src/permit_exchange.cpp
+++ b/gateway/src/permit_exchange.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/gateway/permit_exchange.hpp"
 
 #include "laburnum/contract/field_reader.hpp"
+#include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include <boost/json/parse.hpp>
@@ -22,6 +23,13 @@
 constexpr double kMaxRate = 1e9;
 constexpr std::int64_t kMaxUnixMs = 1'000'000'000'000'000;
 
+/// Proves that the sender of a request knows the key of all daemons.
+std::string
+proofOf(const std::string& aControlKey, std::string_view aBody)
+{
+  return aControlKey.empty() ? "" : hmacSha256(aControlKey, aBody);
+}
+
 std::int64_t
 unixMilliseconds()
 {
@@ -93,7 +101,8 @@
   const std::int64_t issuerMs = reader.integer("issuer_ms", 0, 0, kMaxUnixMs);
   const std::string faults = reader.faultsOfKnown();
   if (aRequest.target() != kPermitPath ||
-      aRequest[bhttp::field::authorization] != mSettings.controlKey) {
+      aRequest[bhttp::field::authorization] !=
+        proofOf(mSettings.controlKey, aRequest.body())) {
     response.result(bhttp::status::not_found);
   } else if (!faults.empty()) {
     response.result(bhttp::status::bad_request);
@@ -119,7 +128,8 @@
   }
   http::Request request{ bhttp::verb::post, kPermitPath, 11 };
   request.set(bhttp::field::host, aPeer.address.text());
-  request.set(bhttp::field::authorization, mSettings.controlKey);
+  request.set(bhttp::field::authorization,
+              proofOf(mSettings.controlKey, aBody));
   request.body() = std::move(aBody);
   const auto response =
     co_await pool->request(std::move(request), kPermitTimeout);
