Gateway: a request that may have run waits for a permit in place of failing

Found by reading the diff: a stream that moved or broke off was ended if the other servers were at their rate limit, and a request that was sent once failed with 502. Only what was not executed can be refused truthfully; the rest waits for the next permit, at most until its deadline. A request quarantined while it waits is refused. gateway_streamBreaksWhileOthersAreRateLimited_isNotBrokenOff fails without it.

--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -55,6 +55,10 @@
   /// Sends to a server that limits the rate of requests, or selects another
   /// one if its limit is reached.
   asio::awaitable<void> sendWithPermit(ServerRecord aServer, double aRate);
+  /// Refuses a request for which no server has a permit left. One that may have
+  /// been executed waits for the next permit instead.
+  void refuseOrAwaitPermit();
+  asio::awaitable<void> dispatchAt(Instant aTime);
   void sendTo(const ServerRecord& aServer);
   http::Request buildRequest(const ServerRecord& aServer) const;
   void handle(const ResponseHead& aEvent);
--- a/gateway/src/request_forwarder_dispatch.cpp
+++ b/gateway/src/request_forwarder_dispatch.cpp
@@ -40,9 +40,12 @@
   if (server == nullptr && !mTriedServers.empty()) {
     server = mContext.selector.select(servers, mDemand, {}, now);
   }
+  if (server == nullptr && mPermitDenials > 0) {
+    refuseOrAwaitPermit();
+    return;
+  }
   if (server == nullptr) {
-    execute(mRetryController->refused(
-      mPermitDenials > 0 ? Error::ServerRateLimited : Error::NoServer));
+    execute(mRetryController->refused(Error::NoServer));
     return;
   }
   if (const auto rate = mContext.servers.rateLimit(*server)) {
@@ -71,10 +74,10 @@
   if (!reply.isGranted) {
     mContext.servers.pause(aServer.id, aServer.startedMs, now + reply.wait);
     if (++mPermitDenials >= kMaxPermitDenials) {
-      execute(mRetryController->refused(Error::ServerRateLimited));
+      refuseOrAwaitPermit();
       co_return;
     }
-  } else if (mContext.servers.isReady(aServer, now)) {
+  } else if (mContext.servers.isReady(aServer, now) && !isQuarantined()) {
     mPermitDenials = 0;
     sendTo(aServer);
     co_return;
@@ -82,6 +85,31 @@
   dispatch();
 }
 
+void
+RequestForwarder::refuseOrAwaitPermit()
+{
+  const auto next =
+    mContext.servers.firstResumption(mService->name, mContext.loop.now());
+  if (mRetryController->isNotExecuted() || !next) {
+    execute(mRetryController->refused(Error::ServerRateLimited));
+    return;
+  }
+  // The client cannot be told that the request was not executed, and a stream
+  // that has begun would break off.
+  mContext.loop.spawn(dispatchAt(*next));
+}
+
+asio::awaitable<void>
+RequestForwarder::dispatchAt(Instant aTime)
+{
+  const auto self = shared_from_this();
+  co_await mContext.loop.sleep(
+    std::max<Duration>(Duration(0), aTime - mContext.loop.now()));
+  if (!mFinished) {
+    dispatch();
+  }
+}
+
 http::Request
 RequestForwarder::buildRequest(const ServerRecord& aServer) const
 {
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -355,3 +355,22 @@
   CHECK(receive(head + "body", "/once/").ends_with("\r\n\r\nbody"));
   CHECK(statusOf(receive(head + "body$RESET", "/once/")) == 502);
 }
+
+TEST_CASE("gateway_streamBreaksWhileOthersAreRateLimited_isNotBrokenOff")
+{
+  const std::string first = "id: 0\ndata: a\n\n";
+  const std::string second = "id: 1\ndata: b\n\n";
+  std::string leavingHead = kEventStreamHead;
+  leavingHead.insert(leavingHead.find("Content-Type"),
+                     "Laburnum-Leaving: 1\r\n");
+  GatewayFixture fixture(
+    { { leavingHead + chunk(first) },
+      { kEventStreamHead + chunk(second) + "0\r\n\r\n" } });
+  Context& context = fixture.gateway.context();
+  context.permits.setPeers({ context.permits.self() });
+  // Its first permit becomes valid after two seconds.
+  context.servers.setRateLimit("i-2", 1, 0.5);
+  const std::string received = fixture.request("GET", "/events/x");
+  CHECK(received.find(second) != std::string::npos);
+  CHECK(received.ends_with("0\r\n\r\n"));
+}
