Test: gateways of incident_server_limit outlive the sessions of their servers

The sanitizer found it: a session of http::Server that is parked in the loop refers to the server when the loop is destroyed; gateways on the heap were freed before. The daemon exits without destroying either.

--- a/gateway/tests/incident_server_limit.cpp
+++ b/gateway/tests/incident_server_limit.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <optional>
 
 using namespace laburnum;
 using namespace laburnum::gateway;
@@ -118,14 +120,20 @@
     }
   }
 
+  ~FleetFixture()
+  {
+    for (auto& gateway : gateways) {
+      gateway.reset();
+    }
+  }
+
   void startGateway()
   {
     settings.push_back(std::make_unique<contract::Settings>(
       contract::Settings{ .instance = "g-" + std::to_string(settings.size()),
                           .role = contract::Role::Gateway,
                           .failureDomain = "a" }));
-    gateways.push_back(
-      std::make_unique<Gateway>(loop, *settings.back(), HeaderNames{}));
+    gateways.emplace_back(std::in_place, loop, *settings.back(), HeaderNames{});
     gateways.back()->start();
     Configuration configuration{ .version = 1 };
     configuration.routes = { { .name = "r",
@@ -151,7 +159,7 @@
     for (std::size_t i = 0; i < gateways.size(); ++i) {
       peers.push_back(gateways[i]->context().permits.self());
     }
-    for (const auto& gateway : gateways) {
+    for (auto& gateway : gateways) {
       gateway->context().permits.setPeers(peers);
     }
   }
@@ -198,11 +206,12 @@
     }
   }
 
+  /// Outlives the loop, as sessions of a gateway's servers refer to it.
+  std::deque<std::optional<Gateway>> gateways;
   Loop loop;
   Duration pause; ///< Of a client between two requests.
   std::vector<std::unique_ptr<LimitedServer>> servers;
   std::vector<std::unique_ptr<contract::Settings>> settings;
-  std::vector<std::unique_ptr<Gateway>> gateways;
   int served = 0;
   int refused = 0;
 };
