Gateway: one loop over the connections of clients; an unused include

migrateFrom and expireRequests copied the list and locked each entry by themselves; both go over openClients now.

--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 
 #include <list>
 #include <memory>
+#include <vector>
 
 namespace laburnum::gateway {
 
@@ -78,6 +79,9 @@
   /// Answers the requests that are still in progress when the stop ends.
   void expireRequests();
   asio::awaitable<void> removeExpiredLater();
+  /// The connections of clients, as a copy: what is done to one may close
+  /// others.
+  std::vector<std::shared_ptr<ClientConnection>> openClients() const;
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
   void migrateIfSlow(const ServerRecord& aServer);
   /// Checks for silent servers and stewards, a few times a second.
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -258,14 +258,23 @@
   migrateFrom(aServer.id, AttemptOutcome::Migrated);
 }
 
+std::vector<std::shared_ptr<ClientConnection>>
+Gateway::openClients() const
+{
+  std::vector<std::shared_ptr<ClientConnection>> clients;
+  for (const auto& weakClient : mClients) {
+    if (auto client = weakClient.lock()) {
+      clients.push_back(std::move(client));
+    }
+  }
+  return clients;
+}
+
 void
 Gateway::migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome)
 {
-  const auto clients = mClients; // Migration may close connections.
-  for (const auto& weakClient : clients) {
-    if (const auto client = weakClient.lock()) {
-      client->migrateFrom(aServerId, aOutcome);
-    }
+  for (const auto& client : openClients()) {
+    client->migrateFrom(aServerId, aOutcome);
   }
 }
 
@@ -366,11 +375,8 @@
 void
 Gateway::expireRequests()
 {
-  const auto clients = mClients; // An answer may close connections.
-  for (const auto& weakClient : clients) {
-    if (const auto client = weakClient.lock()) {
-      client->expireRequest();
-    }
+  for (const auto& client : openClients()) {
+    client->expireRequest();
   }
 }
 
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include "end_to_end.hpp"
 
-#include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/log.hpp"
 #include "leading_number.hpp"
 
@@ -12,7 +11,6 @@
 namespace {
 
 namespace bhttp = http::beast::http;
-namespace json = boost::json;
 
 /// A server that states a lower rate limit still gets this many requests per
 /// second: it can state a new limit only in a response.
