--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -1,4 +1,5 @@
-"""Stand-ins for the cases of this review: the object store, a server of a plain service, a client, and a gateway process.
+"""Stand-ins for the cases of this review: the object store, a server of a plain service, a client, and processes
+of the system.
 
 They follow PROTOCOL.md and use the Python standard library only. Every address is a loopback address, every port a free
 one, and every file lies in a temporary folder. All processes end with the case.
@@ -189,34 +190,33 @@
         writer.write(whole[: whole.index(b"\r\n\r\n") + 4] if first.startswith("HEAD ") else whole)
 
 
-class Gateway:
-    """A gateway process, started as the deploy file does, with the settings that its template gives."""
+class Daemon:
+    """A process of a role, started as the deploy file does, with the settings that the role's template gives."""
 
-    def __init__(self, case, name="edge-a-1", bounds=None):
-        self.case, self.name, self.process, self.is_ended = case, name, None, False
-        self.bounds = {"retry_budget_ratio": 0.2, "budget_slack": 88, "retry_window_s": 10, "grace_s": 8.0}
-        self.bounds.update(bounds or {})
+    def __init__(self, case, role, name, **fields):
+        self.case, self.role, self.name, self.process, self.is_ended = case, role, name, None, False
+        self.fields = {
+            "node_name": name, "zone": "zone-a", "region": "region-a", "ip": "127.0.0.1", "internal_ports": [0, 0],
+            "listen": {"frontend": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+            "platform": {"address": case.store.address},
+            "bounds": {"retry_budget_ratio": 0.2, "budget_slack": 88, "retry_window_s": 10, "grace_s": 8.0}, **fields}
 
     def settings(self):
-        """Fills in the template of the deploy file."""
-        fields = {
-            "node_name": self.name, "zone": "zone-a", "region": "region-a", "ip": "127.0.0.1",
-            "listen": {"frontend": "127.0.0.1:0", "ready": "127.0.0.1:0"}, "internal_ports": [0, 0],
-            "platform": {"address": self.case.store.address}, "bounds": self.bounds}
+        """Fills in the template of the role."""
 
         def value(match):
-            found = fields
+            found = self.fields
             for part in match.group(1).split("."):
                 found = found[int(part)] if isinstance(found, list) else found[part]
             return json.dumps(found) if match.group(2) else str(found)
 
-        with open(os.path.join(ROOT, "deploy/gateway.json.tmpl")) as template:
+        with open(os.path.join(ROOT, f"deploy/{self.role}.json.tmpl")) as template:
             return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, template.read())
 
     def command(self, settings_path):
         """The `run` line of the role in the deploy file, with another path of the settings."""
         with open(os.path.join(ROOT, "deploy/system.toml")) as deploy:
-            run = re.search(r'\[roles\.gateway\]\s*\nrun = "([^"]+)"', deploy.read()).group(1).split()
+            run = re.search(rf'\[roles\.{self.role}\]\s*\nrun = "([^"]+)"', deploy.read()).group(1).split()
         return [settings_path if word == "/etc/laburnumbank/local.json" else word for word in run]
 
     async def start(self):
@@ -226,11 +226,11 @@
         self.process = await asyncio.create_subprocess_exec(
             *self.command(path), cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
             env={"PATH": os.environ.get("PATH", ""), "HOME": self.case.folder, "LANG": "C"})
-        self.case.note("gateway_started", pid=self.process.pid)
+        self.case.note("started", daemon=self.name)
         while line := await asyncio.wait_for(self.process.stdout.readline(), 10):
             event = json.loads(line)
             if event.get("event") == "started":
-                self.address, self.operators = event["callers"], event["operators"]
+                self.address, self.operators = event.get("callers"), event.get("operators")
                 break
         self.readers = [asyncio.create_task(self.read_log(stream)) for stream in
                         (self.process.stdout, self.process.stderr)]
@@ -238,12 +238,12 @@
 
     async def read_log(self, stream):
         while line := await stream.readline():
-            self.case.note("gateway_log", line=line.decode(errors="replace").strip())
+            self.case.note("log", daemon=self.name, line=line.decode(errors="replace").strip())
 
     async def wait(self):
         code = await self.process.wait()
         self.is_ended = True
-        self.case.note("gateway_ended", exit_code=code)
+        self.case.note("ended", daemon=self.name, exit_code=code)
 
     async def wait_ready(self, timeout_s=15):
         end = time.monotonic() + timeout_s
@@ -258,10 +258,10 @@
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
                 pass
             await asyncio.sleep(0.05)
-        raise RuntimeError("the gateway did not become ready")
+        raise RuntimeError(f"{self.name} did not become ready")
 
     def signal(self, number):
-        self.case.note("signal", number=signal.Signals(number).name)
+        self.case.note("signal", daemon=self.name, signal=signal.Signals(number).name)
         self.process.send_signal(number)
 
     async def end(self):
@@ -281,7 +281,7 @@
 
     def __init__(self, name):
         self.name, self.trouble = name, os.environ.get("TROUBLE", "1") != "0"
-        self.started_at, self.lines, self.runs, self.gateways = time.monotonic(), [], {}, []
+        self.started_at, self.lines, self.runs, self.daemons = time.monotonic(), [], {}, []
         self.store = Store(self)
 
     def note(self, event, **fields):
@@ -303,10 +303,13 @@
         """Waits until a gateway that has just started counts as in touch (contact_ms is 3,000)."""
         await asyncio.sleep(3.5)
 
-    def gateway(self, **options):
-        gateway = Gateway(self, **options)
-        self.gateways.append(gateway)
-        return gateway
+    def daemon(self, role, name, **fields):
+        daemon = Daemon(self, role, name, **fields)
+        self.daemons.append(daemon)
+        return daemon
+
+    def gateway(self):
+        return self.daemon("gateway", "edge-a-1")
 
     def run(self, play, folder):
         """Plays the case; `play(case)` returns a list of what broke the rule. Exits with the result."""
@@ -331,8 +334,8 @@
             await self.store.listen()
             return await play(self)
         finally:
-            for gateway in self.gateways:
-                await gateway.end()
+            for daemon in self.daemons:
+                await daemon.end()
 
 
 def request_head(method, path, request, length=None, deadline_ms=8000, extra=()):
