--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -195,6 +195,7 @@
 
     def __init__(self, case, role, name, **fields):
         self.case, self.role, self.name, self.process, self.is_ended = case, role, name, None, False
+        self.address = self.operators = None  # Once it has started: for clients, and for questions whether it is ready.
         self.fields = {
             "node_name": name, "zone": "zone-a", "region": "region-a", "ip": "127.0.0.1", "internal_ports": [0, 0],
             "listen": {"frontend": "127.0.0.1:0", "ready": "127.0.0.1:0"},
@@ -220,6 +221,8 @@
         return [settings_path if word == "/etc/laburnumbank/local.json" else word for word in run]
 
     async def start(self):
+        """Starts the process; returns when it says that it has started, or has ended."""
+        self.address = self.operators = None
         path = os.path.join(self.case.folder, self.name + ".json")
         with open(path, "w") as file:
             file.write(self.settings())
