--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,11 +20,8 @@
 
     async def run(self):
         while True:
-            try:
-                await self.gateway.start()
-                self.address = self.gateway.address
-            except Exception as error:
-                self.case.note("start_failed", reason=repr(error))
+            await self.gateway.start()
+            self.address = self.gateway.address
             code = await self.gateway.process.wait()
             self.address, self.ends = None, self.ends + 1
             self.case.note("ended_by_itself", exit_code=code)
@@ -64,11 +61,15 @@
         await asyncio.sleep(0.25)
         sent += 1
         served += await ask(case, starts, sent)
+        if running.done():
+            await running  # Raises what kept the program from being started at all.
     running.cancel()
     case.note("counts", sent=sent, served=served, ended_by_itself=starts.ends)
     if served == 0 and starts.ends >= 3:
         return [f"Fault: the gateway ended by itself {starts.ends} times in {WATCHED_S} s, and none of {sent} requests was "
                 "served"]
+    if served == 0:
+        raise RuntimeError(f"no request was served, although the gateway ended {starts.ends} times only")
     return []
 
 
