--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -106,6 +106,8 @@
   bool isSwitching() const { return !mSwitch.isIdle(); }
 
   experts::SwitchPhase phase() const { return mSwitch.phase(); }
+  /// Map version of the change in progress, or of the last one.
+  std::uint64_t changeVersion() const { return mSwitch.version(); }
   /// Smoothed duration of a pass.
   Duration passTime() const { return mPassTime; }
   /// When the own rank was last seen to begin a pass.
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -408,6 +408,7 @@
           { "skew", mMapController->skew() },
           { "copies", mMapController->plannedCopies() },
           { "in_force", mReport.state.inForce },
+          { "version", mMapController->changeVersion() },
           { "step", mReport.state.step } });
   }
 }
--- a/steward/src/steward_orders.cpp
+++ b/steward/src/steward_orders.cpp
@@ -15,6 +15,24 @@
 /// prepared one and two abandoned ones.
 constexpr std::size_t kMaxStoredMaps = 4;
 
+/// Logs an order of the keeper that blocks the group at a step or lets it go
+/// on. A release that takes effect without such a line was executed late.
+void
+logStepOrder(std::uint64_t aEpoch, const experts::EngineOrder& aOrder)
+{
+  const auto write = [aEpoch](std::string_view aKind, std::uint64_t aStep) {
+    log(LogLevel::Info,
+        "step_order",
+        { { "kind", aKind }, { "step", aStep }, { "epoch", aEpoch } });
+  };
+  if (const auto* hold = std::get_if<experts::HoldOrder>(&aOrder)) {
+    write("hold", hold->step);
+  } else if (const auto* release =
+               std::get_if<experts::ReleaseOrder>(&aOrder)) {
+    write("release", release->step);
+  }
+}
+
 } // namespace
 
 const std::vector<wire::RankChange>&
@@ -32,6 +50,7 @@
 Steward::sendOrder(const experts::RankOrder& aOrder)
 {
   if (aOrder.rank == mReport.rank) {
+    logStepOrder(mReport.state.epoch, aOrder.order);
     mLoop.spawn(executeOrder(mReport.state.epoch, aOrder.order));
     return;
   }
