Experts: a change of the map uses only a hold that it has ordered itself (MAP)

Callers got answers computed with two expert maps. Cause: HeldSwitch went on to arm ranks as soon as its rank held the step that it had named last, also for an earlier change. If that hold was executed late, another instance could have ordered its release already; a release that is late too then lets the step begin while ranks are being armed.

Change: any other hold is released first, while no rank is armed; the change then holds a later step.

--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -224,6 +224,7 @@
   std::uint64_t mVersion = 0;
   std::uint64_t mUndoVersion = 0;
   std::uint64_t mStep = 0;
+  bool mHasOrderedHold = false; ///< Of `mStep`, for the present change.
   std::optional<Instant> mHoldSeenAt; ///< First sight of a hold while idle.
   std::optional<Instant> mArmRetryAt; ///< Last repetition of an arm order.
   GroupMap mMap;
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -186,6 +186,7 @@
     return aRank.prepared == mVersion;
   };
   if (allRanks(aStates, isPrepared)) {
+    mHasOrderedHold = false;
     enter(SwitchPhase::Holding, aNow);
     return {};
   }
@@ -208,13 +209,14 @@
 HeldSwitch::hold(Instant aNow, const States& aStates, Duration aStepTime)
 {
   const RankState& own = *aStates[mOwnRank];
-  if (own.held && own.held == mStep) {
+  if (mHasOrderedHold && own.held == mStep) {
     enter(SwitchPhase::Arming, aNow);
     return {};
   }
   if (own.held) {
     // An earlier hold order was executed late. No rank is armed yet, so that
-    // step can be released.
+    // step can be released. It must not serve for this change, since another
+    // instance may have ordered its release already.
     return startAttempt(mOwnRank, aNow, mOptions.retryInterval)
              ? Orders{ { mOwnRank, ReleaseOrder{ *own.held } } }
              : Orders{};
@@ -237,6 +239,7 @@
   mStep =
     std::max(mStep + 1,
              latestStep(aStates) + std::max(mOptions.minLeadSteps, leadSteps));
+  mHasOrderedHold = true;
   return { { mOwnRank, HoldOrder{ mStep } } };
 }
 
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -374,6 +374,42 @@
                          .rules = { .undoesByPreparing = false } }));
 }
 
+TEST_CASE("held_switch_holdOfAnEarlierChange_isNotUsedForThisOne")
+{
+  // A hold that is executed late can stall the group until another instance
+  // releases it. If that release is late too, it would end the hold of a change
+  // that uses the same hold, while ranks are being armed.
+  HeldSwitch change(0, 1);
+  RankState state{ .epoch = 1, .step = 10, .prepared = 7 };
+  Instant now{};
+  const auto tick = [&] {
+    now += kTick;
+    return change.tick(now, { state }, kStepTime, 20, GroupMap(1));
+  };
+  const auto holdStep = [](const std::vector<RankOrder>& aOrders) {
+    REQUIRE(aOrders.size() == 1);
+    return std::get<HoldOrder>(aOrders[0].order).step;
+  };
+  change.begin(7, GroupMap(1), now);
+  tick();
+  std::uint64_t step = holdStep(tick());
+  while (!change.isIdle()) {
+    for (const RankOrder& order : tick()) {
+      step = std::get<HoldOrder>(order.order).step;
+    }
+  }
+  change.begin(8, GroupMap(1), now);
+  state.prepared = 8;
+  state.held = step;
+  tick();
+  const auto orders = tick();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::get<ReleaseOrder>(orders[0].order).step == step);
+  state.held.reset();
+  now += milliseconds(60);
+  CHECK(holdStep(tick()) > step);
+}
+
 TEST_CASE("held_switch_newEpoch_forgetsTheChange")
 {
   HeldSwitch change(0, 1);
