--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "laburnum/experts/hold_steps.hpp"
 #include "laburnum/experts/switch_envelope.hpp"
 #include "laburnum/kernel/time.hpp"
 
@@ -84,6 +85,8 @@
   bool undoesByPreparing = true;
   /// Disarm ranks only when another rank can no longer be armed; off: at once.
   bool disarmsAfterDecision = true;
+  /// Hold only steps that no order has named; off: the next suitable step.
+  bool holdsEachStepOnce = true;
 };
 
 struct HeldSwitchOptions
@@ -140,7 +143,8 @@
 /// - every rank is armed for that step, or
 /// - every rank is unarmed and has a later version prepared, which makes it
 ///   impossible to arm the abandoned version.
-/// So no step runs with two maps.
+/// So no step runs with two maps. No two hold orders name the same step, so
+/// that a late release for an earlier change does not end the hold of this one.
 ///
 /// Decisions depend on rank states alone. A restarted holder therefore
 /// continues from the states that it reads, and another instance can take over
@@ -152,10 +156,13 @@
 class HeldSwitch
 {
 public:
-  /// aOwnRank is the rank that holds the step. It may be remote.
-  /// @pre aOwnRank < aRankCount
+  /// aOwnRank is the rank that holds the step. It may be remote; then
+  /// aHoldSteps has observed nothing, and only holds that exist are taken over.
+  /// @pre aOwnRank < aRankCount; aHoldSteps belongs to that rank and outlives
+  /// this object.
   HeldSwitch(std::size_t aOwnRank,
              std::size_t aRankCount,
+             HoldSteps& aHoldSteps,
              HeldSwitchOptions aOptions = {});
 
   /// Begins a change to a map; replaces a change that is still preparing.
@@ -218,13 +225,13 @@
 
   std::size_t mOwnRank;
   std::size_t mRankCount;
+  HoldSteps* mHoldSteps; ///< Of the own rank.
   HeldSwitchOptions mOptions;
   SwitchPhase mPhase = SwitchPhase::Idle;
   std::uint64_t mEpoch = 0;
   std::uint64_t mVersion = 0;
   std::uint64_t mUndoVersion = 0;
-  std::uint64_t mStep = 0;
-  bool mHasOrderedHold = false; ///< Of `mStep`, for the present change.
+  std::uint64_t mStep = 0; ///< Held for the present change; 0 for none.
   std::optional<Instant> mHoldSeenAt; ///< First sight of a hold while idle.
   std::optional<Instant> mArmRetryAt; ///< Last repetition of an arm order.
   GroupMap mMap;
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -43,9 +43,11 @@
 
 HeldSwitch::HeldSwitch(std::size_t aOwnRank,
                        std::size_t aRankCount,
+                       HoldSteps& aHoldSteps,
                        HeldSwitchOptions aOptions)
   : mOwnRank(aOwnRank)
   , mRankCount(aRankCount)
+  , mHoldSteps(&aHoldSteps)
   , mOptions(aOptions)
 {
 }
@@ -149,6 +151,7 @@
   }
   mHoldSeenAt.reset();
   mStep = *own.held;
+  mHoldSteps->reserve(mEpoch, mStep);
   mVersion = findArmedVersion(aStates, mStep);
   const ArmedMap target{ .version = mVersion, .step = mStep };
   const bool isArmed = allRanks(
@@ -186,7 +189,7 @@
     return aRank.prepared == mVersion;
   };
   if (allRanks(aStates, isPrepared)) {
-    mHasOrderedHold = false;
+    mStep = 0; // This change has ordered no hold yet.
     enter(SwitchPhase::Holding, aNow);
     return {};
   }
@@ -209,7 +212,7 @@
 HeldSwitch::hold(Instant aNow, const States& aStates, Duration aStepTime)
 {
   const RankState& own = *aStates[mOwnRank];
-  if (mHasOrderedHold && own.held == mStep) {
+  if (own.held && own.held == mStep) {
     enter(SwitchPhase::Arming, aNow);
     return {};
   }
@@ -217,6 +220,7 @@
     // An earlier hold order was executed late. No rank is armed yet, so that
     // step can be released. It must not serve for this change, since another
     // instance may have ordered its release already.
+    mHoldSteps->reserve(mEpoch, *own.held);
     return startAttempt(mOwnRank, aNow, mOptions.retryInterval)
              ? Orders{ { mOwnRank, ReleaseOrder{ *own.held } } }
              : Orders{};
@@ -234,12 +238,15 @@
     toSeconds(hadRecentLoss ? mOptions.switchLeadAfterLoss
                             : mOptions.switchLead) /
     std::max(0.005, toSeconds(aStepTime)));
-  // Each attempt holds another step, so that a late release order of an earlier
-  // attempt cannot release this one.
-  mStep =
-    std::max(mStep + 1,
-             latestStep(aStates) + std::max(mOptions.minLeadSteps, leadSteps));
-  mHasOrderedHold = true;
+  const std::uint64_t earliest =
+    latestStep(aStates) + std::max(mOptions.minLeadSteps, leadSteps);
+  const auto step = mOptions.rules.holdsEachStepOnce
+                      ? mHoldSteps->next(mEpoch, own.step, earliest - own.step)
+                      : std::optional(earliest);
+  if (!step) {
+    return {}; // The group has to make steps first.
+  }
+  mStep = *step;
   return { { mOwnRank, HoldOrder{ mStep } } };
 }
 
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -1,8 +1,10 @@
 #include "laburnum/experts/held_switch.hpp"
 #include "laburnum/kernel/random.hpp"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <set>
 
 using namespace laburnum;
 using namespace laburnum::experts;
@@ -80,12 +82,17 @@
   double freeze = 0;        ///< Of the holder, per tick.
   bool hasRescuer = false;  ///< Another instance takes over a stalled hold.
   double rescuerFreeze = 0; ///< Of that instance, per tick.
+  /// Of another instance becoming the holder, per tick. The former one is
+  /// frozen, and acts once on old states when it wakes.
+  double takeover = 0;
+  bool isQuiet = false; ///< Requests come about once a second, for few steps.
   HeldSwitchRules rules;
 };
 
 struct Outcome
 {
   int mixedSteps = 0;
+  int repeatedHolds = 0; ///< Holds of a step that the rank had held before.
   int changes = 0;
   Duration longestHold{ 0 };
 };
@@ -98,7 +105,7 @@
   GroupSimulation(std::uint64_t aSeed, Faults aFaults)
     : mRandom(aSeed)
     , mFaults(aFaults)
-    , mHolder{ createSwitch({}) }
+    , mHolder{ createSwitch(0, mHoldSteps[0]) }
   {
   }
 
@@ -106,10 +113,16 @@
   {
     for (; mNow - Instant{} < aDuration; mNow += kTick) {
       deliverDelayed();
+      addRequests();
       runStep();
       if (mRandom.chance(mFaults.restart)) {
-        mHolder = { createSwitch({}), mNow + kRestartDelay };
+        const std::size_t rank = mHolder.rank;
+        mHoldSteps[rank] = {};
+        mHolder = { createSwitch(rank, mHoldSteps[rank]),
+                    rank,
+                    mNow + kRestartDelay };
       }
+      runTakeover();
       if (isResponsive(mHolder, mFaults.freeze)) {
         observe(mHolder);
         const double beginChance =
@@ -129,6 +142,7 @@
   struct Actor
   {
     HeldSwitch change;
+    std::size_t rank = 0;
     Instant pausedUntil{};
     std::vector<std::optional<RankState>> knownStates =
       std::vector<std::optional<RankState>>(kRanks);
@@ -136,10 +150,48 @@
     bool hasResumed = false;
   };
 
-  HeldSwitch createSwitch(HeldSwitchOptions aOptions) const
+  HeldSwitch createSwitch(std::size_t aRank,
+                          HoldSteps& aHoldSteps,
+                          HeldSwitchOptions aOptions = {}) const
   {
     aOptions.rules = mFaults.rules;
-    return HeldSwitch(0, kRanks, aOptions);
+    return HeldSwitch(aRank, kRanks, aHoldSteps, aOptions);
+  }
+
+  void addRequests()
+  {
+    if (!mFaults.isQuiet) {
+      mPassesLeft = 1;
+    } else if (mPassesLeft == 0 && mRandom.chance(0.02)) {
+      mPassesLeft = 1 + static_cast<int>(mRandom.below(8));
+    }
+  }
+
+  /// The rank that keeps the group from its next step.
+  std::optional<std::size_t> findHolder() const
+  {
+    for (std::size_t rank = 0; rank < kRanks; ++rank) {
+      const RankState& state = mRanks[rank].state;
+      if (state.held && *state.held <= state.step + 1) {
+        return rank;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void runTakeover()
+  {
+    if (mFormer && mNow >= mFormer->pausedUntil) {
+      act(*mFormer);
+      mFormer.reset();
+    }
+    if (!mFormer && mFaults.takeover > 0 && mRandom.chance(mFaults.takeover)) {
+      mFormer = mHolder;
+      mFormer->pausedUntil =
+        mNow + milliseconds(static_cast<int>(mRandom.below(4000)));
+      const std::size_t next = (mHolder.rank + 1) % 2;
+      mHolder = { createSwitch(next, mHoldSteps[next]), next };
+    }
   }
 
   /// Returns false while the actor is frozen. On resuming it acts once on the
@@ -175,8 +227,12 @@
     if (!mFaults.hasRescuer) {
       return;
     }
-    if (!mRescuer && mHeldTime >= kStallLimit) {
-      mRescuer = Actor{ createSwitch({ .takeoverDelay = milliseconds(0) }) };
+    const auto holder = findHolder();
+    if (!mRescuer && mHeldTime >= kStallLimit && holder) {
+      mRescuer =
+        Actor{ createSwitch(
+                 *holder, mRescuerSteps, { .takeoverDelay = milliseconds(0) }),
+               *holder };
     }
     if (mRescuer && isResponsive(*mRescuer, mFaults.rescuerFreeze)) {
       observe(*mRescuer);
@@ -189,6 +245,10 @@
 
   void send(const RankOrder& aOrder)
   {
+    if (const auto* hold = std::get_if<HoldOrder>(&aOrder.order)) {
+      mOutcome.repeatedHolds +=
+        !mNamedSteps.emplace(aOrder.rank, hold->step).second;
+    }
     if (!mRandom.chance(mFaults.orderDelay)) {
       apply(aOrder);
       return;
@@ -220,17 +280,16 @@
 
   void runStep()
   {
-    if (mNow < mNextStepAt) {
+    if (mNow < mNextStepAt || mPassesLeft == 0) {
       return;
     }
-    const std::uint64_t step = mRanks[0].state.step + 1;
-    for (const FakeRank& rank : mRanks) {
-      if (rank.state.held && *rank.state.held <= step) {
-        mHeldTime += kTick;
-        mOutcome.longestHold = std::max(mOutcome.longestHold, mHeldTime);
-        return;
-      }
+    if (findHolder()) {
+      mHeldTime += kTick;
+      mOutcome.longestHold = std::max(mOutcome.longestHold, mHeldTime);
+      return;
     }
+    const std::uint64_t step = mRanks[0].state.step + 1;
+    --mPassesLeft;
     mHeldTime = Duration(0);
     mNextStepAt = mNow + kStepTime;
     const std::uint64_t versionBefore = mRanks[0].state.inForce;
@@ -249,6 +308,9 @@
       if (!mRandom.chance(mFaults.reportLoss)) {
         aActor.knownStates[rank] = mRanks[rank].state;
         aActor.readAt[rank] = mNow;
+        if (rank == mHolder.rank && &aActor == &mHolder) {
+          mHoldSteps[rank].observe(0, mRanks[rank].state.step);
+        }
       } else if (mNow - aActor.readAt[rank] >= kMaxStateAge) {
         aActor.knownStates[rank].reset();
       }
@@ -257,13 +319,18 @@
 
   Random mRandom;
   Faults mFaults;
+  std::array<HoldSteps, kRanks> mHoldSteps; ///< Of the process of each rank.
+  HoldSteps mRescuerSteps;
   Actor mHolder;
   std::optional<Actor> mRescuer;
+  std::optional<Actor> mFormer; ///< The holder before the present one.
   std::array<FakeRank, kRanks> mRanks;
   std::deque<std::pair<Instant, RankOrder>> mDelayed;
   std::uint64_t mVersion = 0;
   Instant mNow{};
   Instant mNextStepAt{};
+  int mPassesLeft = 0; ///< Of the requests that are there.
+  std::set<std::pair<std::size_t, std::uint64_t>> mNamedSteps; ///< By rank.
   Duration mHeldTime{ 0 };
   Outcome mOutcome;
 };
@@ -275,6 +342,7 @@
   for (int seed = 1; seed <= aSeeds; ++seed) {
     const Outcome outcome = GroupSimulation(seed, aFaults).run(seconds(60));
     total.mixedSteps += outcome.mixedSteps;
+    total.repeatedHolds += outcome.repeatedHolds;
     total.changes += outcome.changes;
     total.longestHold = std::max(total.longestHold, outcome.longestHold);
   }
@@ -333,6 +401,49 @@
   CHECK(outcome.changes > 300);
 }
 
+// A late order releases a step that is held again for another change, while
+// ranks are being armed for it (review/1). In an idle group steps do not pass,
+// so that an order stays in effect however late it is.
+
+TEST_CASE("held_switch_quietGroup_neverHoldsAStepTwice")
+{
+  const Outcome outcome =
+    runAll(500, { .orderDelay = 0.35, .reportLoss = 0.5, .isQuiet = true });
+  CHECK(outcome.repeatedHolds == 0);
+  CHECK(outcome.mixedSteps == 0);
+  CHECK(outcome.changes > 100);
+}
+
+TEST_CASE("held_switch_quietGroupAndHolderRestarts_neverHoldsAStepTwice")
+{
+  const Outcome outcome = runAll(2000,
+                                 { .orderDelay = 0.35,
+                                   .restart = 0.01,
+                                   .reportLoss = 0.5,
+                                   .freeze = 0.005,
+                                   .hasRescuer = true,
+                                   .isQuiet = true });
+  CHECK(outcome.repeatedHolds == 0);
+  CHECK(outcome.mixedSteps == 0);
+  CHECK(outcome.changes > 300);
+}
+
+TEST_CASE("held_switch_holdersTakeTurns_neverHoldAStepTwice")
+{
+  for (const bool isQuiet : { false, true }) {
+    const Outcome outcome = runAll(1000,
+                                   { .orderDelay = 0.35,
+                                     .restart = 0.003,
+                                     .reportLoss = 0.5,
+                                     .hasRescuer = true,
+                                     .takeover = 0.005,
+                                     .isQuiet = isQuiet });
+    CHECK(outcome.repeatedHolds == 0);
+    CHECK(outcome.mixedSteps == 0);
+    CHECK(outcome.changes > 100);
+  }
+}
+
 TEST_CASE("held_switch_holderFrozen_isReleasedBeforeCallersLeave")
 {
   // Callers abandon a stream after a pause of two seconds.
@@ -342,7 +453,19 @@
   CHECK(rescued.mixedSteps == 0);
 }
 
-// The next three tests each turn off one safety rule and expect a mixed step.
+// The next four tests each turn off one safety rule and expect a mixed step.
+
+TEST_CASE("held_switch_stepsHeldAgain_mixesMaps")
+{
+  CHECK(findsMixedStep(2000,
+                       { .orderDelay = 0.35,
+                         .restart = 0.01,
+                         .reportLoss = 0.5,
+                         .freeze = 0.005,
+                         .hasRescuer = true,
+                         .isQuiet = true,
+                         .rules = { .holdsEachStepOnce = false } }));
+}
 
 TEST_CASE("held_switch_undoneWithoutADecision_mixesMaps")
 {
@@ -379,7 +502,10 @@
   // A hold that is executed late can stall the group until another instance
   // releases it. If that release is late too, it would end the hold of a change
   // that uses the same hold, while ranks are being armed.
-  HeldSwitch change(0, 1);
+  HoldSteps holdSteps;
+  holdSteps.observe(0, 0);
+  holdSteps.observe(1, 10);
+  HeldSwitch change(0, 1, holdSteps);
   RankState state{ .epoch = 1, .step = 10, .prepared = 7 };
   Instant now{};
   const auto tick = [&] {
@@ -412,7 +538,8 @@
 
 TEST_CASE("held_switch_newEpoch_forgetsTheChange")
 {
-  HeldSwitch change(0, 1);
+  HoldSteps holdSteps;
+  HeldSwitch change(0, 1, holdSteps);
   change.begin(7, GroupMap(1), Instant{});
   RankState state{ .epoch = 1 };
   change.tick(Instant{}, { state }, kStepTime, 8, GroupMap(1));
--- a/steward/include/laburnum/steward/hold_rescue.hpp
+++ b/steward/include/laburnum/steward/hold_rescue.hpp
@@ -108,6 +108,8 @@
   std::vector<std::optional<experts::RankState>> mStates;
   std::vector<std::optional<AcceptedOrder>> mAcceptedOrders;
   std::optional<std::size_t> mHolder;
+  /// Observes nothing, as another steward chooses the steps of that rank.
+  experts::HoldSteps mHoldSteps;
   std::optional<experts::HeldSwitch> mSwitch;
 };
 
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -79,8 +79,10 @@
 class MapController
 {
 public:
+  /// @pre aHoldSteps belongs to the own rank and outlives this object.
   MapController(std::size_t aOwnRank,
                 std::size_t aRanks,
+                experts::HoldSteps& aHoldSteps,
                 MapControllerOptions aOptions);
 
   void update(const RankUpdate& aUpdate, Instant aNow);
@@ -150,6 +152,7 @@
 
   std::size_t mOwnRank;
   MapControllerOptions mOptions;
+  const experts::HoldSteps& mHoldSteps;
   experts::HeldSwitch mSwitch;
   std::vector<Rank> mRanks;
   std::vector<std::vector<double>> mLoads; ///< By set and expert, decaying.
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -178,6 +178,7 @@
   experts::RankState mReportedState;                ///< To the keeper.
   Instant mReportedAt{};
   bool mHasReportedExperts = false;
+  experts::HoldSteps mHoldSteps; ///< Of the own rank, kept for life.
   std::optional<MapController> mMapController; ///< Of the keeper.
   std::string mControlledGroup;
   std::map<std::size_t, LinkPtr> mRankLinks; ///< Links to the keeper, by rank.
--- a/steward/src/hold_rescue.cpp
+++ b/steward/src/hold_rescue.cpp
@@ -117,6 +117,7 @@
     mSwitch.emplace(
       *mHolder,
       mStates.size(),
+      mHoldSteps,
       experts::HeldSwitchOptions{ .retryInterval = kResendInterval,
                                   .armTimeout = kArmTimeout,
                                   .takeoverDelay = Duration(0) });
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -46,10 +46,12 @@
 
 MapController::MapController(std::size_t aOwnRank,
                              std::size_t aRanks,
+                             experts::HoldSteps& aHoldSteps,
                              MapControllerOptions aOptions)
   : mOwnRank(aOwnRank)
   , mOptions(aOptions)
-  , mSwitch(aOwnRank, aRanks, switchOptions(aRanks))
+  , mHoldSteps(aHoldSteps)
+  , mSwitch(aOwnRank, aRanks, aHoldSteps, switchOptions(aRanks))
   , mRanks(aRanks)
 {
 }
@@ -220,7 +222,9 @@
              : mSwitch.tick(aNow, states, mPassTime, version, mCurrentMap);
   }
   updateCurrentMap();
-  if (mSwitch.canBegin() && isStable) {
+  // Without a step to hold, ranks would copy experts for nothing.
+  if (mSwitch.canBegin() && isStable &&
+      mHoldSteps.hasSteps(own->state.epoch, own->state.step)) {
     plan(aNow, version);
   }
   return mSwitch.tick(aNow, states, mPassTime, version, mCurrentMap);
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -226,6 +226,7 @@
   mLatestRead = read;
   const bool hasEngineRestarted = report->startedMs != mReport.startedMs;
   mReport = *report;
+  mHoldSteps.observe(mReport.state.epoch, mReport.state.step);
   if (hasEngineRestarted || mLoadedExperts.experts.empty() ||
       mLoadedExperts.version != mReport.state.inForce) {
     const auto loadedExperts = co_await mEngine.loadedExperts();
@@ -370,7 +371,8 @@
     return;
   }
   if (!mMapController || mControlledGroup != mReport.group) {
-    mMapController.emplace(mReport.rank, mReport.groupSize, mMapOptions);
+    mMapController.emplace(
+      mReport.rank, mReport.groupSize, mHoldSteps, mMapOptions);
     mControlledGroup = mReport.group;
     mSummary.emplace(mReport.groupSize);
   }
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -12,11 +12,24 @@
 constexpr std::size_t kRanks = 4;
 constexpr std::size_t kExperts = 8;
 
+/// Steps of a rank whose group formed again during the life of its steward, so
+/// that every step can be held.
+struct FreeHoldSteps : experts::HoldSteps
+{
+  FreeHoldSteps()
+  {
+    observe(0, 0);
+    observe(1, 0);
+  }
+};
+
 /// A group of four ranks whose engines execute every order at once.
 struct GroupFixture
 {
+  FreeHoldSteps holdSteps;
   MapController controller{ 0,
                             kRanks,
+                            holdSteps,
                             { .slotsPerRank = 3, .standbySlotsPerRank = 1 } };
   std::vector<RankUpdate> ranks;
   Instant now{ seconds(100) };
@@ -170,7 +183,8 @@
   group.sendUpdates();
   update.experts.clear();
   CHECK(group.controller.knowsExperts(update));
-  const MapController restarted(0, kRanks, { .slotsPerRank = 3 });
+  FreeHoldSteps holdSteps;
+  const MapController restarted(0, kRanks, holdSteps, { .slotsPerRank = 3 });
   CHECK_FALSE(restarted.knowsExperts(update));
   CHECK(restarted.knowsExperts(group.ranks[1]));
   update.state.inForce = 9;
@@ -187,8 +201,9 @@
   constexpr std::size_t kSets = 12;
   constexpr std::size_t kSlotsPerRank = 2;
   constexpr Duration kDuration = seconds(3);
+  FreeHoldSteps holdSteps;
   MapController controller(
-    0, kManyRanks, { .slotsPerRank = 3, .standbySlotsPerRank = 1 });
+    0, kManyRanks, holdSteps, { .slotsPerRank = 3, .standbySlotsPerRank = 1 });
   Instant now{ seconds(100) };
   const Instant startedAt = now;
   std::size_t prepares = 0;
@@ -226,8 +241,9 @@
   // further behind and the group stood at the held step. Found by quiet-1 of
   // the large garden with processor time counted.
   constexpr std::size_t kManyRanks = 192;
+  FreeHoldSteps holdSteps;
   MapController controller(
-    0, kManyRanks, { .slotsPerRank = 3, .standbySlotsPerRank = 1 });
+    0, kManyRanks, holdSteps, { .slotsPerRank = 3, .standbySlotsPerRank = 1 });
   std::vector<RankUpdate> ranks;
   for (std::size_t rank = 0; rank < kManyRanks; ++rank) {
     RankUpdate update{ .rank = rank, .groupSize = kManyRanks, .isOpen = true };
