Steward: send orders with the epoch in which they were decided

Cause: orders were sent with the epoch of the newest report of the own engine, which is stored one call before the map controller sees it. A hold or release of the former epoch then counts in the new one.

Change: RankOrder has the epoch of the states that it was decided from; direct, relayed and rescue orders carry it.

The new test failed before: orders of epochs 1 and 2 from a controller that knew epoch 1 only; 1 alone after.

--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -71,6 +71,9 @@
 {
   std::size_t rank = 0;
   EngineOrder order;
+  /// Epoch of the states from which the order was decided. It must reach the
+  /// engine, which refuses orders of another epoch.
+  std::uint64_t epoch = 0;
 };
 
 /// Safety rules of `HeldSwitch`. Tests turn single rules off to show that each
@@ -207,6 +210,12 @@
   using Orders = std::vector<RankOrder>;
   using States = std::vector<std::optional<RankState>>;
 
+  /// Returns the orders of the present phase.
+  Orders decide(Instant aNow,
+                const States& aStates,
+                Duration aStepTime,
+                std::uint64_t aUnusedVersion,
+                const GroupMap& aInForce);
   void enter(SwitchPhase aPhase, Instant aNow);
   /// Returns true, and records the time, if no order was sent to the rank
   /// within the interval.
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -110,21 +110,35 @@
   if (mPhase == SwitchPhase::Idle && !recover(aNow, states, aUnusedVersion)) {
     return {};
   }
+  Orders orders = decide(aNow, states, aStepTime, aUnusedVersion, aInForce);
+  for (RankOrder& order : orders) {
+    order.epoch = mEpoch;
+  }
+  return orders;
+}
+
+std::vector<RankOrder>
+HeldSwitch::decide(Instant aNow,
+                   const States& aStates,
+                   Duration aStepTime,
+                   std::uint64_t aUnusedVersion,
+                   const GroupMap& aInForce)
+{
   switch (mPhase) {
     case SwitchPhase::Idle:
       return {};
     case SwitchPhase::Preparing:
-      return prepare(aNow, states);
+      return prepare(aNow, aStates);
     case SwitchPhase::Holding:
-      return hold(aNow, states, aStepTime);
+      return hold(aNow, aStates, aStepTime);
     case SwitchPhase::Arming: {
       mUndoVersion = aUnusedVersion;
-      return arm(aNow, states);
+      return arm(aNow, aStates);
     }
     case SwitchPhase::Undoing:
-      return undo(aNow, states, aInForce);
+      return undo(aNow, aStates, aInForce);
     case SwitchPhase::Releasing:
-      return release(aNow, states);
+      return release(aNow, aStates);
   }
   return {};
 }
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -136,7 +136,8 @@
   void processRelayedOrder(const LinkPtr& aLink,
                            const wire::RelayedOrderT& aOrder);
   void processOrder(const wire::RankOrderT& aOrder);
-  wire::RankOrderT buildChanges(const experts::PrepareOrder& aPrepare);
+  wire::RankOrderT buildChanges(std::uint64_t aEpoch,
+                                const experts::PrepareOrder& aPrepare);
   void onReady(const LinkPtr& aLink);
   void processGatewayNews(const wire::GatewayNewsT& aNews);
   /// Merges suspicions of requests that crash servers and passes on to the
--- a/steward/src/steward_orders.cpp
+++ b/steward/src/steward_orders.cpp
@@ -50,8 +50,8 @@
 Steward::sendOrder(const experts::RankOrder& aOrder)
 {
   if (aOrder.rank == mReport.rank) {
-    logStepOrder(mReport.state.epoch, aOrder.order);
-    mLoop.spawn(executeOrder(mReport.state.epoch, aOrder.order));
+    logStepOrder(aOrder.epoch, aOrder.order);
+    mLoop.spawn(executeOrder(aOrder.epoch, aOrder.order));
     return;
   }
   const auto found = mRankLinks.find(aOrder.rank);
@@ -63,11 +63,11 @@
     return; // A second map in the queue would only delay the orders to arm.
   }
   if (prepare != nullptr && canSendChanges(aOrder.rank, *prepare)) {
-    found->second->send(buildChanges(*prepare));
+    found->second->send(buildChanges(aOrder.epoch, *prepare));
     return;
   }
   wire::RankOrderT frame;
-  frame.epoch = mReport.state.epoch;
+  frame.epoch = aOrder.epoch;
   encodeOrder(frame, aOrder.order);
   found->second->send(std::move(frame));
 }
@@ -81,10 +81,11 @@
 }
 
 wire::RankOrderT
-Steward::buildChanges(const experts::PrepareOrder& aPrepare)
+Steward::buildChanges(std::uint64_t aEpoch,
+                      const experts::PrepareOrder& aPrepare)
 {
   wire::RankOrderT frame;
-  frame.epoch = mReport.state.epoch;
+  frame.epoch = aEpoch;
   frame.kind = wire::RankOrderKind::Prepare;
   frame.version = aPrepare.version;
   frame.base = mReport.state.inForce;
@@ -152,9 +153,9 @@
     const auto& prepare = std::get<experts::PrepareOrder>(first->order);
     wire::RankOrderT frame;
     if (asChanges) {
-      frame = buildChanges(prepare);
+      frame = buildChanges(first->epoch, prepare);
     } else {
-      frame.epoch = mReport.state.epoch;
+      frame.epoch = first->epoch;
       encodeOrder(frame, prepare);
     }
     sendThroughRelays(frame, ranks);
--- a/steward/src/steward_rescue.cpp
+++ b/steward/src/steward_rescue.cpp
@@ -113,8 +113,7 @@
   if (!engine) {
     co_return; // Not read yet; the order is sent again.
   }
-  const auto accepted =
-    co_await engine->order(mReport.state.epoch, aOrder.order);
+  const auto accepted = co_await engine->order(aOrder.epoch, aOrder.order);
   log(LogLevel::Info,
       "rescue_order",
       { { "rank", aOrder.rank },
--- a/steward/tests/unit_steward.cpp
+++ b/steward/tests/unit_steward.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/steward/steward.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace laburnum;
 using namespace laburnum::steward;
@@ -18,6 +19,9 @@
   std::uint64_t requests = 0;
   experts::RankState state{ .epoch = 1, .step = 5, .held = 6 };
   std::function<void()> released;
+  std::function<void(std::uint64_t)> ordered = [](std::uint64_t) {};
+  /// Called before the list of experts is returned.
+  std::function<asio::awaitable<void>()> listing;
 
   asio::awaitable<Result<EngineReport>> report() override
   {
@@ -37,12 +41,16 @@
   }
   asio::awaitable<Result<LoadedExperts>> loadedExperts() override
   {
+    if (listing) {
+      co_await listing();
+    }
     co_return LoadedExperts{ .version = state.inForce,
                              .experts = { { 0, 1 } } };
   }
-  asio::awaitable<Result<bool>> order(std::uint64_t,
+  asio::awaitable<Result<bool>> order(std::uint64_t aEpoch,
                                       experts::EngineOrder aOrder) override
   {
+    ordered(aEpoch);
     if (const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder)) {
       state.prepared = prepare->version;
     } else if (std::holds_alternative<experts::ReleaseOrder>(aOrder)) {
@@ -113,6 +121,33 @@
   CHECK(fixture.isReleased);
 }
 
+TEST_CASE("steward_groupFormsAgainBeforeAnOrderIsSent_orderKeepsItsEpoch")
+{
+  // An order that was decided for the former epoch must be refused in the new
+  // one, where its step or version means something else.
+  StewardFixture fixture;
+  HoldingEngine& engine = fixture.engine;
+  engine.state.inForce = 4;
+  std::vector<std::uint64_t> epochs;
+  bool isNewEpochListed = false;
+  engine.ordered = [&](std::uint64_t aEpoch) {
+    epochs.push_back(aEpoch);
+    engine.state = { .epoch = 2, .step = 0 };
+  };
+  engine.listing = [&]() -> asio::awaitable<void> {
+    if (engine.state.epoch == 2 && !isNewEpochListed) {
+      isNewEpochListed = true;
+      co_await fixture.loop.sleep(milliseconds(500));
+      fixture.loop.stop();
+    }
+  };
+  fixture.run(milliseconds(1), [] {});
+  CHECK(isNewEpochListed);
+  CHECK(epochs.size() > 1);
+  CHECK(std::set<std::uint64_t>(epochs.begin(), epochs.end()) ==
+        std::set<std::uint64_t>{ 1 });
+}
+
 namespace {
 
 /// Accesses an engine on another instance.
