Steward: no two maps have the same version

Ranks are armed for a version and compare no maps. Cause: beyond the clock a version was the largest prepared one plus one, without memory of the last choice, so that a change that replaced another could have its version with another map; two stewards could choose the same one.

Ruled out: that engines exclude it (they report the version of the map that they took first).

Change: MapVersions, for the life of a process; low bits identify the process.

The new test of the controller failed before: two maps under version 1001; one each after.

--- a/steward/include/laburnum/steward/hold_rescue.hpp
+++ b/steward/include/laburnum/steward/hold_rescue.hpp
@@ -80,9 +80,10 @@
                       const experts::EngineOrder& aOrder,
                       Instant aNow);
 
-  /// Returns the orders to send now. aNewVersion is a map version that no rank
-  /// has used, aCurrentMap the map in force. If aCurrentMap is empty, a change
-  /// that cannot be completed is not undone, and the step stays held.
+  /// Returns the orders to send now. aNewVersion is larger than all map
+  /// versions that the ranks have reported, aCurrentMap the map in force. If
+  /// aCurrentMap is empty, a change that cannot be completed is not undone, and
+  /// the step stays held.
   std::vector<experts::RankOrder> tick(Instant aNow,
                                        std::uint64_t aNewVersion,
                                        const experts::GroupMap& aCurrentMap);
--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -99,8 +99,9 @@
   /// Forgets the state of a rank whose steward is no longer connected.
   void removeRank(std::size_t aRank);
 
-  /// Returns the orders to send now. aVersion is a map version larger than any
-  /// that a steward has used before.
+  /// Returns the orders to send now.
+  /// @pre aVersion is a map version that no order has named, and larger than
+  /// all that the ranks have reported.
   std::vector<experts::RankOrder> tick(Instant aNow, std::uint64_t aVersion);
 
   /// True while a change of the map is in progress, in which `tick` has to be
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/experts/map_versions.hpp"
 #include "laburnum/policy/quarantine.hpp"
 #include "laburnum/steward/count_reporter.hpp"
 #include "laburnum/steward/engine.hpp"
@@ -153,7 +154,10 @@
     const experts::PrepareOrder& aPrepare);
   void tickMapController();
   bool isKeeper() const { return mKeeperSelection.isSelf(); }
+  /// A map version that no rank and no other steward has used.
   std::uint64_t nextVersion();
+  /// Records the versions that a rank has, so that later ones are larger.
+  void observeVersions(const experts::RankState& aState);
 
   Loop& mLoop;
   contract::Settings mSettings;
@@ -197,7 +201,7 @@
   /// Links to other stewards, to which orders are passed on.
   std::map<contract::Address, LinkPtr> mRelayLinks;
   std::uint64_t mRelayedVersion = 0; ///< Last one sent through relays.
-  std::uint64_t mLastVersion = 0;
+  experts::MapVersions mVersions;
   std::uint64_t mAwaitedVersion = 0; ///< The version that is being prepared.
   /// The old and the new version of `mCachedChanges`, which are computed once
   /// and sent to every rank.
--- a/steward/src/hold_rescue.cpp
+++ b/steward/src/hold_rescue.cpp
@@ -122,12 +122,8 @@
                                   .armTimeout = kArmTimeout,
                                   .takeoverDelay = Duration(0) });
   }
-  std::uint64_t version = aNewVersion;
-  for (const auto& state : mStates) {
-    version = std::max(version, state ? state->prepared.value_or(0) + 1 : 0);
-  }
   auto orders =
-    mSwitch->tick(aNow, effectiveStates(aNow), {}, version, aCurrentMap);
+    mSwitch->tick(aNow, effectiveStates(aNow), {}, aNewVersion, aCurrentMap);
   std::erase_if(orders, [&](const experts::RankOrder& aOrder) {
     const bool isPrepare =
       std::holds_alternative<experts::PrepareOrder>(aOrder.order);
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -196,12 +196,7 @@
   bool areAllKnown = true;
   bool isStable = true;
   const auto& own = mRanks[mOwnRank].update;
-  std::uint64_t version = aVersion;
   for (const Rank& rank : mRanks) {
-    if (rank.update) {
-      // A steward whose clock is ahead may have used a larger version.
-      version = std::max(version, rank.update->state.prepared.value_or(0) + 1);
-    }
     const bool isKnown = rank.update &&
                          aNow - rank.updatedAt < mOptions.maxStateAge && own &&
                          !own->experts.empty() &&
@@ -219,15 +214,15 @@
     // A change in progress continues as far as it needs no missing state.
     return mSwitch.isIdle() || mCurrentMap.empty()
              ? std::vector<experts::RankOrder>{}
-             : mSwitch.tick(aNow, states, mPassTime, version, mCurrentMap);
+             : mSwitch.tick(aNow, states, mPassTime, aVersion, mCurrentMap);
   }
   updateCurrentMap();
   // Without a step to hold, ranks would copy experts for nothing.
   if (mSwitch.canBegin() && isStable &&
       mHoldSteps.hasSteps(own->state.epoch, own->state.step)) {
-    plan(aNow, version);
+    plan(aNow, aVersion);
   }
-  return mSwitch.tick(aNow, states, mPassTime, version, mCurrentMap);
+  return mSwitch.tick(aNow, states, mPassTime, aVersion, mCurrentMap);
 }
 
 std::vector<double>
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -49,6 +49,7 @@
       { .maxBytesPerSecond =
           kCountsShareOfLink * aSettings.steward.linkMbps * kBytesPerMegabit,
         .minPeriod = kReadPeriod })
+  , mVersions(mIdentity.incarnation)
 {
 }
 
@@ -86,17 +87,15 @@
 std::uint64_t
 Steward::nextVersion()
 {
-  // Unix time in ms is larger than any version that a steward has used, also
-  // before a restart, unless the clock was set back. The versions in the
-  // engine's state cover that case.
-  const auto now = std::chrono::duration_cast<milliseconds>(
-    std::chrono::system_clock::now().time_since_epoch());
-  const auto& state = mReport.state;
-  mLastVersion = std::max({ mLastVersion + 1,
-                            static_cast<std::uint64_t>(now.count()),
-                            state.inForce + 1,
-                            state.prepared.value_or(0) + 1 });
-  return mLastVersion;
+  return mVersions.next(std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch()));
+}
+
+void
+Steward::observeVersions(const experts::RankState& aState)
+{
+  mVersions.observe(aState.inForce);
+  mVersions.observe(aState.prepared.value_or(0));
 }
 
 void
@@ -227,6 +226,7 @@
   const bool hasEngineRestarted = report->startedMs != mReport.startedMs;
   mReport = *report;
   mHoldSteps.observe(mReport.state.epoch, mReport.state.step);
+  observeVersions(mReport.state);
   if (hasEngineRestarted || mLoadedExperts.experts.empty() ||
       mLoadedExperts.version != mReport.state.inForce) {
     const auto loadedExperts = co_await mEngine.loadedExperts();
@@ -394,6 +394,7 @@
       mRelaysToGateways.erase(aReport.rank);
     }
   }
+  observeVersions(update.state);
   mSummary->update(presence, mLoop.now());
   mMapController->update(update, mLoop.now());
 }
--- a/steward/src/steward_rescue.cpp
+++ b/steward/src/steward_rescue.cpp
@@ -88,6 +88,7 @@
         report->state.epoch == epoch &&
         report->rank < aRecovery->engines.size()) {
       aRecovery->engines[report->rank] = aEngine;
+      observeVersions(report->state);
       aRecovery->holdRecovery.updateState(report->rank, report->state);
       auto& known = aRecovery->loadedExperts[report->rank];
       if (!hasCurrentMap() && known.experts.empty()) {
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -1,8 +1,11 @@
+#include "laburnum/experts/map_versions.hpp"
 #include "laburnum/steward/map_duty.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
+#include <set>
 
 using namespace laburnum;
 using namespace laburnum::steward;
@@ -34,8 +37,12 @@
   std::vector<RankUpdate> ranks;
   Instant now{ seconds(100) };
   std::uint64_t version = 0;
+  experts::MapVersions versions{ 7 };
   std::uint16_t hotExpert = 0;
   experts::GroupMap preparedMap;
+  /// Maps of the prepare orders, by their version.
+  std::map<std::uint64_t, std::set<decltype(experts::ExpertMap::slots)>>
+    mapsByVersion;
   bool completesCopies = true; ///< If false, copies never complete.
 
   GroupFixture()
@@ -51,6 +58,7 @@
   void sendUpdates(bool aWithExperts = true)
   {
     for (RankUpdate update : ranks) {
+      versions.observe(update.state.prepared.value_or(0));
       update.counts.assign(kExperts, 10);
       update.counts[hotExpert] = 200;
       if (!aWithExperts) {
@@ -75,7 +83,8 @@
         }
       }
       sendUpdates();
-      for (const auto& order : controller.tick(now, ++version)) {
+      for (const auto& order :
+           controller.tick(now, versions.next(milliseconds(0)))) {
         ++orders;
         applyOrder(ranks[order.rank].state, order.order);
       }
@@ -88,6 +97,7 @@
   {
     if (const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder)) {
       preparedMap = prepare->map;
+      mapsByVersion[prepare->version].insert(prepare->map[0].slots);
       if (completesCopies) {
         aState.prepared = prepare->version;
       }
@@ -173,6 +183,23 @@
   CHECK(copiesOf(5) > 1);
 }
 
+TEST_CASE("map_controller_changeReplaced_hasAnotherVersion")
+{
+  // A former keeper, whose clock was ahead, has left a version on one rank. If
+  // two changes had the same version, ranks could be armed for both maps.
+  GroupFixture group;
+  group.completesCopies = false;
+  group.ranks[2].state.prepared = 1000;
+  group.simulate(20);
+  group.hotExpert = 5;
+  group.simulate(20);
+  CHECK(group.mapsByVersion.size() > 1);
+  for (const auto& [version, maps] : group.mapsByVersion) {
+    CHECK(version > 1000);
+    CHECK(maps.size() == 1);
+  }
+}
+
 TEST_CASE("map_controller_keeperRestarted_doesNotKnowEarlierReports")
 {
   // If a keeper is killed while it holds a step, the ranks only report changes
