Agent: an epoch of the expert map is not used again after the lease was suspended

Cause: an agent whose lease expired for a while forgot the count of its changes, but held the duty with the same token again, so that a new map could get the epoch of an abandoned one. Ranks that had loaded the latter were then armed for the former.

Ruled out: a new token after each suspension (the token stays while the record names the holder).

Change: MapChange::abandon in place of a new object. The test failed with a new object, as the agent made it: equal epochs.

--- a/agent/src/group_maps.cpp
+++ b/agent/src/group_maps.cpp
@@ -213,7 +213,9 @@
   }
   if (!mDuty->holds()) {
     // What was armed is settled by the ranks among themselves.
-    mChange.reset();
+    if (mChange) {
+      mChange->abandon();
+    }
     co_return;
   }
   if (!mChange) {
--- a/experts/include/laburnum/experts/map_change.hpp
+++ b/experts/include/laburnum/experts/map_change.hpp
@@ -48,7 +48,8 @@
 /// from the loop thread.
 ///
 /// Epochs start with the fencing token of the duty, so that two holders never
-/// use the same epoch for different maps.
+/// use the same epoch for different maps. One object must serve for as long as
+/// the token can stay the same.
 class MapChange
 {
 public:
@@ -69,6 +70,11 @@
                                  const GroupView& aGroup,
                                  std::uint64_t aFencingToken);
 
+  /// Ends the change in progress without an outcome, for a daemon that no longer
+  /// holds the duty. The epoch is not used again, as the daemon may hold the
+  /// duty again with the same fencing token.
+  void abandon();
+
   /// Records that a rank has loaded the weights of an epoch.
   void markPrepared(Rank aRank, Epoch aEpoch);
 
--- a/experts/src/map_change.cpp
+++ b/experts/src/map_change.cpp
@@ -135,6 +135,15 @@
                      : mCoordinator.giveUp());
 }
 
+void
+MapChange::abandon()
+{
+  mPhase = Phase::Idle;
+  mCoordinator = SwitchCoordinator(mRankCount);
+  mPrepared.clear();
+  mPlannedAt.reset();
+}
+
 void
 MapChange::markPrepared(Rank aRank, Epoch aEpoch)
 {
--- a/experts/tests/unit_map_change.cpp
+++ b/experts/tests/unit_map_change.cpp
@@ -63,6 +63,18 @@
   CHECK_FALSE(change.isBusy());
 }
 
+// A lease that expires for a while keeps its token. Were an epoch used again,
+// ranks that loaded the abandoned map would be armed for the new one.
+TEST_CASE_METHOD(MapChangeFixture,
+                 "MapChange, abandoned and begun again, uses another epoch")
+{
+  const Epoch abandoned = prepareAll();
+  change.abandon();
+  CHECK_FALSE(change.isBusy());
+  CHECK(prepareAll() > abandoned);
+  CHECK(count<Arm>(tick(milliseconds(100))) == 2);
+}
+
 TEST_CASE_METHOD(MapChangeFixture,
                  "MapChange, prepared by all, arms a later step and commits")
 {
