Experts: undoing a change concerns the held step only (MAP)

Callers got answers computed with two expert maps, in simulations only. Cause: an instance that undid a change went on when the hold had been released, and disarmed a rank for whatever it was armed: also for the next change, while its keeper released the step after it had seen all ranks armed.

Change: undoing ends with the hold; a rank that is armed for another step with a newer version counts as undone; no rank is disarmed before one was seen that cannot be armed, also if the version was not known when the hold was taken over.

--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -315,14 +315,28 @@
 std::vector<RankOrder>
 HeldSwitch::undo(Instant aNow, const States& aStates, const GroupMap& aInForce)
 {
+  if (aStates[mOwnRank]->held != mStep) {
+    // Another instance released the step, which requires the outcome that this
+    // one works on. Ranks may be armed for the next change.
+    enter(SwitchPhase::Idle, aNow);
+    return {};
+  }
+  if (mVersion == 0) {
+    // Late orders may have armed ranks since the hold was taken over.
+    mVersion = findArmedVersion(aStates, mStep);
+  }
   const ArmedMap target{ .version = mVersion, .step = mStep };
-  const auto isUndone = [this](const RankState& aRank) {
-    return !aRank.armed && (aRank.prepared >= mUndoVersion ||
-                            !mOptions.rules.undoesByPreparing);
-  };
   const auto isArmed = [&](const RankState& aRank) {
     return aRank.armed == target;
   };
+  // A rank that is armed for another step cannot be armed for an older version,
+  // and its change has a hold and an outcome of its own.
+  const auto isUndone = [this](const RankState& aRank) {
+    if (aRank.armed) {
+      return aRank.armed->step != mStep && aRank.armed->version > mVersion;
+    }
+    return aRank.prepared >= mUndoVersion || !mOptions.rules.undoesByPreparing;
+  };
   if (allRanks(aStates, isUndone) || allRanks(aStates, isArmed)) {
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
@@ -339,13 +353,12 @@
   Orders orders;
   for (std::size_t rank = 0; rank < mRankCount; ++rank) {
     const auto& state = aStates[rank];
-    if (state && (isUndone(*state) || (!isOutcomeDecided && isArmed(*state)))) {
-      continue;
-    }
-    if (!startAttempt(rank, aNow, mOptions.retryInterval)) {
+    const bool isArmedRank = state && state->armed;
+    if ((state && isUndone(*state)) || (isArmedRank && !isOutcomeDecided) ||
+        !startAttempt(rank, aNow, mOptions.retryInterval)) {
       continue;
     }
-    if (state && state->armed) {
+    if (isArmedRank) {
       orders.push_back({ rank, DisarmOrder{ state->armed->version } });
     } else {
       orders.push_back({ rank, PrepareOrder{ mUndoVersion, aInForce } });
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -85,6 +85,9 @@
   /// Of another instance becoming the holder, per tick. The former one is
   /// frozen, and acts once on old states when it wakes.
   double takeover = 0;
+  /// Of the steward of a rank, per tick. Orders wait until it wakes. It passes
+  /// prepare orders on to the next rank, as a relay.
+  double relayFreeze = 0;
   bool isQuiet = false; ///< Requests come about once a second, for few steps.
   HeldSwitchRules rules;
 };
@@ -114,6 +117,7 @@
     for (; mNow - Instant{} < aDuration; mNow += kTick) {
       deliverDelayed();
       addRequests();
+      freezeRelays();
       runStep();
       if (mRandom.chance(mFaults.restart)) {
         const std::size_t rank = mHolder.rank;
@@ -249,12 +253,36 @@
       mOutcome.repeatedHolds +=
         !mNamedSteps.emplace(aOrder.rank, hold->step).second;
     }
-    if (!mRandom.chance(mFaults.orderDelay)) {
+    const Instant arrival = arrivalAt(aOrder);
+    const bool isLate = mRandom.chance(mFaults.orderDelay);
+    if (!isLate && arrival <= mNow) {
       apply(aOrder);
       return;
     }
-    const auto delay = milliseconds(2000 + mRandom.below(10000));
-    mDelayed.emplace_back(mNow + delay, aOrder);
+    const auto delay =
+      isLate ? milliseconds(2000 + mRandom.below(10000)) : milliseconds(0);
+    mDelayed.emplace_back(arrival + delay, aOrder);
+  }
+
+  /// When the stewards on the way to a rank have passed an order on.
+  Instant arrivalAt(const RankOrder& aOrder) const
+  {
+    Instant arrival = std::max(mNow, mRankFrozenUntil[aOrder.rank]);
+    if (std::holds_alternative<PrepareOrder>(aOrder.order)) {
+      arrival = std::max(arrival,
+                         mRankFrozenUntil[(aOrder.rank + kRanks - 1) % kRanks]);
+    }
+    return arrival;
+  }
+
+  void freezeRelays()
+  {
+    for (Instant& until : mRankFrozenUntil) {
+      if (mFaults.relayFreeze > 0 && mNow >= until &&
+          mRandom.chance(mFaults.relayFreeze)) {
+        until = mNow + milliseconds(static_cast<int>(mRandom.below(4000)));
+      }
+    }
   }
 
   void apply(const RankOrder& aOrder)
@@ -319,6 +347,7 @@
 
   Random mRandom;
   Faults mFaults;
+  std::array<Instant, kRanks> mRankFrozenUntil{};
   std::array<HoldSteps, kRanks> mHoldSteps; ///< Of the process of each rank.
   HoldSteps mRescuerSteps;
   Actor mHolder;
@@ -428,6 +457,37 @@
   CHECK(outcome.changes > 300);
 }
 
+TEST_CASE("held_switch_relaysFreeze_neverMixesMaps")
+{
+  for (const bool isQuiet : { false, true }) {
+    const Outcome outcome = runAll(1000,
+                                   { .orderDelay = 0.35,
+                                     .restart = 0.005,
+                                     .reportLoss = 0.5,
+                                     .hasRescuer = true,
+                                     .relayFreeze = 0.01,
+                                     .isQuiet = isQuiet });
+    CHECK(outcome.repeatedHolds == 0);
+    CHECK(outcome.mixedSteps == 0);
+    CHECK(outcome.changes > 100);
+  }
+}
+
+TEST_CASE("held_switch_bothInstancesFreezeInAQuietGroup_neverMixMaps")
+{
+  const Outcome outcome = runAll(2000,
+                                 { .orderDelay = 0.35,
+                                   .restart = 0.01,
+                                   .reportLoss = 0.5,
+                                   .freeze = 0.02,
+                                   .hasRescuer = true,
+                                   .rescuerFreeze = 0.02,
+                                   .isQuiet = true });
+  CHECK(outcome.repeatedHolds == 0);
+  CHECK(outcome.mixedSteps == 0);
+  CHECK(outcome.changes > 300);
+}
+
 TEST_CASE("held_switch_holdersTakeTurns_neverHoldAStepTwice")
 {
   for (const bool isQuiet : { false, true }) {
@@ -536,6 +596,32 @@
   CHECK(holdStep(tick()) > step);
 }
 
+TEST_CASE("held_switch_undoing_doesNotDisarmForAnotherStep")
+{
+  // Another instance may have released the step already, and have armed ranks
+  // for its next change; the state of the holder is out of date.
+  HoldSteps holdSteps;
+  HeldSwitch change(0, 2, holdSteps, { .takeoverDelay = seconds(0) });
+  RankState holder{ .epoch = 1, .step = 10, .prepared = 7, .held = 11 };
+  RankState other{ .epoch = 1, .step = 10, .prepared = 7 };
+  Instant now{};
+  const auto tick = [&] {
+    now += seconds(1);
+    return change.tick(now, { holder, other }, kStepTime, 20, GroupMap(1));
+  };
+  CHECK(tick().size() == 2);
+  CHECK(change.phase() == SwitchPhase::Undoing);
+  other.prepared = 30;
+  other.armed = ArmedMap{ .version = 30, .step = 14 };
+  for (const RankOrder& order : tick()) {
+    CHECK_FALSE(std::holds_alternative<DisarmOrder>(order.order));
+  }
+  holder = other;
+  holder.held = 14;
+  CHECK(tick().empty());
+  CHECK(change.isIdle());
+}
+
 TEST_CASE("held_switch_newEpoch_forgetsTheChange")
 {
   HoldSteps holdSteps;
