--- a/contract/include/laburnum/contract/field_reader.hpp
+++ b/contract/include/laburnum/contract/field_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/kernel/result.hpp"
+#include "laburnum/kernel/time.hpp"
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
@@ -41,6 +42,13 @@
                        std::int64_t aHigh);
   bool boolean(std::string_view aName, bool aDefault);
 
+  /// A duration in aUnit, whole or with a fraction, rounded to microseconds.
+  Duration duration(std::string_view aName,
+                    Duration aUnit,
+                    Duration aDefault,
+                    Duration aLow,
+                    Duration aHigh);
+
   // Structure.
 
   /// The texts of an array, or an empty list. Pre: none.
@@ -55,6 +63,9 @@
   /// True when the field is present. Pre: none.
   bool has(std::string_view aName) const;
 
+  /// True when the field is present and an object. Pre: none.
+  bool hasObject(std::string_view aName) const;
+
   // Faults.
 
   /// Records a fault at a field of this object. Pre: none.
--- a/contract/src/field_reader.cpp
+++ b/contract/src/field_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json/serialize.hpp>
 #include <boost/json/stream_parser.hpp>
+#include <cmath>
 #include <limits>
 
 namespace laburnum::contract {
@@ -92,6 +93,13 @@
   return mObject.contains(aName);
 }
 
+bool
+FieldReader::hasObject(std::string_view aName) const
+{
+  const json::value* value = mObject.if_contains(aName);
+  return value != nullptr && value->is_object();
+}
+
 void
 FieldReader::fault(std::string_view aName, std::string_view aMessage)
 {
@@ -170,6 +178,21 @@
   return found;
 }
 
+Duration
+FieldReader::duration(std::string_view aName,
+                      Duration aUnit,
+                      Duration aDefault,
+                      Duration aLow,
+                      Duration aHigh)
+{
+  const auto unit = static_cast<double>(aUnit.count());
+  const double found = number(aName,
+                              static_cast<double>(aDefault.count()) / unit,
+                              static_cast<double>(aLow.count()) / unit,
+                              static_cast<double>(aHigh.count()) / unit);
+  return Duration(std::llround(found * unit));
+}
+
 bool
 FieldReader::boolean(std::string_view aName, bool aDefault)
 {
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -9,13 +9,43 @@
 namespace {
 
 constexpr std::int64_t kMaxBytes = 64 * 1024 * 1024;
-constexpr std::int64_t kMaxMillis = 24 * 3600 * 1000;
+constexpr std::int64_t kMaxPort = 65535;
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+/// The shortest window in which repeats can be counted.
+constexpr Duration kMinWindow = milliseconds(1);
+/// Largest ratio, count or rate of a deployment.
+constexpr double kMaxNumber = 1e12;
+constexpr double kMinMbps = 0.001;
 
+std::string
+readHost(FieldReader& aReader)
+{
+  std::string host = aReader.requiredText("host");
+  boost::system::error_code error;
+  boost::asio::ip::make_address(host, error);
+  if (error && !host.empty()) {
+    aReader.fault("host", "found \"" + host + "\", expected an IP address");
+  }
+  return host;
+}
+
+/// Reads "address:port", or an object with `host` and `port`.
 Address
 readAddress(FieldReader& aReader,
             std::string_view aName,
             const std::string& aDefault)
 {
+  if (aReader.hasObject(aName)) {
+    FieldReader fields = aReader.object(aName);
+    Address address{ .host = readHost(fields) };
+    address.port =
+      static_cast<std::uint16_t>(fields.integer("port", 0, 0, kMaxPort));
+    if (!fields.has("port")) {
+      fields.fault("port", "missing, expected a port from 0 to 65535");
+    }
+    aReader.finish(fields);
+    return address;
+  }
   const std::string text = aReader.text(aName, aDefault);
   if (text.empty()) {
     return {};
@@ -74,11 +104,8 @@
 Duration
 readMillis(FieldReader& aReader, std::string_view aName, Duration aDefault)
 {
-  return milliseconds(
-    aReader.integer(aName,
-                    std::chrono::duration_cast<milliseconds>(aDefault).count(),
-                    1,
-                    kMaxMillis));
+  return aReader.duration(
+    aName, milliseconds(1), aDefault, Duration(1), kMaxDuration);
 }
 
 Limits
@@ -125,15 +152,21 @@
 readGateway(FieldReader aReader, FieldReader& aParent)
 {
   GatewaySettings gateway;
-  gateway.retryRatio = aReader.number("retry_ratio", gateway.retryRatio, 0, 1);
+  gateway.retryRatio =
+    aReader.number("retry_ratio", gateway.retryRatio, 0, kMaxNumber);
   gateway.retrySlack =
-    aReader.number("retry_slack", gateway.retrySlack, 0, 1e6);
-  gateway.retryWindow = seconds(aReader.integer("retry_window_s", 10, 1, 3600));
+    aReader.number("retry_slack", gateway.retrySlack, 0, kMaxNumber);
+  gateway.retryWindow = aReader.duration("retry_window_s",
+                                         seconds(1),
+                                         gateway.retryWindow,
+                                         kMinWindow,
+                                         kMaxDuration);
   gateway.entries =
     static_cast<int>(aReader.integer("entries", gateway.entries, 1, 10000));
-  gateway.stopGrace = seconds(aReader.integer("stop_grace_s", 8, 1, 3600));
+  gateway.stopGrace = aReader.duration(
+    "stop_grace_s", seconds(1), gateway.stopGrace, Duration(0), kMaxDuration);
   gateway.stewardPort =
-    static_cast<std::uint16_t>(aReader.integer("steward_port", 0, 0, 65535));
+    static_cast<std::uint16_t>(aReader.integer("steward_port", 0, 0, kMaxPort));
   aParent.finish(aReader);
   return gateway;
 }
@@ -142,7 +175,8 @@
 readSteward(FieldReader aReader, FieldReader& aParent)
 {
   StewardSettings steward;
-  steward.linkMbps = aReader.number("link_mbps", steward.linkMbps, 0.1, 1e6);
+  steward.linkMbps =
+    aReader.number("link_mbps", steward.linkMbps, kMinMbps, kMaxNumber);
   aParent.finish(aReader);
   return steward;
 }
--- a/contract/tests/unit_contract.cpp
+++ b/contract/tests/unit_contract.cpp
@@ -23,6 +23,57 @@
 
 } // namespace
 
+// A daemon that reads a time as an integer does not start where the platform
+// states a fraction.
+TEST_CASE("ParseSettings, times as whole numbers or fractions, are exact")
+{
+  struct Row
+  {
+    const char* figure;
+    std::int64_t thousandths;
+  };
+  const Row rows[]{
+    { "8", 8000 },   { "8.0", 8000 },   { "80e-1", 8000 },     { "7.5", 7500 },
+    { "0.25", 250 }, { "2.001", 2001 }, { "7200", 7'200'000 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.figure);
+    const std::string figure(row.figure);
+    const std::string place =
+      R"("failure_domain":"a","platform":["1.2.3.4:5"],"limits":{"read_timeout_ms":)" +
+      figure + R"(,"default_deadline_ms":)" + figure +
+      R"(,"forget_instance_ms":)" + figure + R"(,"drain_grace_ms":)" + figure +
+      "},";
+    const microseconds inMilliseconds(row.thousandths);
+    for (const std::string role : { "entry", "agent", "gateway", "steward" }) {
+      const bool hasServer = role == "agent" || role == "steward";
+      const bool isGateway = role == "gateway";
+      const auto settings = parseSettings(
+        "{" + place +
+        (hasServer
+           ? R"("server":{"address":"1.2.3.4:6","offers":["m"],"slots":8.0},)"
+           : "") +
+        (isGateway
+           ? R"("gateway":{"retry_window_s":)" + figure +
+               R"(,"stop_grace_s":)" + figure + R"(,"steward_port":7340.0},)"
+           : "") +
+        R"("control":{"host":"1.2.3.4","port":7340.0},"instance":"i","role":")" +
+        role + "\"}");
+      REQUIRE(settings);
+      CHECK(settings->control.text() == "1.2.3.4:7340");
+      CHECK(settings->limits.readTimeout == inMilliseconds);
+      CHECK(settings->limits.defaultDeadline == inMilliseconds);
+      CHECK(settings->limits.forgetInstance == inMilliseconds);
+      CHECK(settings->limits.drainGrace == inMilliseconds);
+      if (isGateway) {
+        CHECK(settings->gateway.retryWindow == milliseconds(row.thousandths));
+        CHECK(settings->gateway.stopGrace == milliseconds(row.thousandths));
+        CHECK(settings->gateway.stewardPort == 7340);
+      }
+    }
+  }
+}
+
 TEST_CASE("ParseSettings, faulty files, name place and remedy")
 {
   struct Row
@@ -50,6 +101,16 @@
     { R"([])", "document: found array" },
     { R"({"instance":7,"failure_domain":"a","platform":["1.2.3.4:5"]})",
       "instance: found int64, expected string" },
+    { R"({"instance":"a","failure_domain":"a","platform":["1.2.3.4:5"],"control":{"host":"h","port":5}})",
+      "control.host: found \"h\", expected an IP address" },
+    { R"({"instance":"a","failure_domain":"a","platform":["1.2.3.4:5"],"control":{"host":"1.2.3.4"}})",
+      "control.port: missing" },
+    { R"({"instance":"a","failure_domain":"a","platform":["1.2.3.4:5"],"limits":{"read_timeout_ms":-0.5}})",
+      "limits.read_timeout_ms: found -5E-1, expected a number from" },
+    { R"({"instance":"a","failure_domain":"a","platform":["1.2.3.4:5"],"limits":{"queue":2.5}})",
+      "limits.queue: found 2.5E0, expected an integer from" },
+    { R"({"instance":"a","role":"gateway","failure_domain":"a","platform":["1.2.3.4:5"],"gateway":{"retry_window_s":0}})",
+      "gateway.retry_window_s: found 0, expected a number from" },
   };
   for (const Row& row : rows) {
     CAPTURE(row.text);
