--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -11,7 +11,8 @@
 namespace bhttp = http::beast::http;
 using asio::ip::tcp;
 
-/// Part of the grace period reserved for the exit of the process.
+/// Part of the grace period reserved for the exit of the process, at most half
+/// of it.
 constexpr Duration kStopMargin = milliseconds(400);
 /// Time before the exit of the process during which no connection is accepted,
 /// so that requests that arrived last are answered.
@@ -346,10 +347,11 @@
     mLoop.stop();
     return;
   }
+  const Duration grace = mSettings.gateway.stopGrace;
   mContext.drainPolicy =
     DrainPolicy{ .startedAt = mLoop.now(),
-                 .endsAt =
-                   mLoop.now() + mSettings.gateway.stopGrace - kStopMargin };
+                 .endsAt = mLoop.now() + grace -
+                           std::min<Duration>(kStopMargin, grace / 2) };
   log(LogLevel::Info, "draining");
   mContext.permits.stopIssuing();
   mLoop.spawn(drain());
@@ -385,7 +387,8 @@
 {
   const Instant end = mContext.drainPolicy->endsAt;
   const Instant lastAccept = end - kLastRequestsTime;
-  co_await mLoop.sleep(kReadinessPropagationDelay);
+  co_await mLoop.sleep(
+    std::min<Duration>(kReadinessPropagationDelay, end - mLoop.now()));
   for (;;) {
     bool isBusy = false;
     for (const auto& weakClient : mClients) {
--- a/gateway/tests/unit_gateway.cpp
+++ b/gateway/tests/unit_gateway.cpp
@@ -323,6 +323,33 @@
   CHECK(load.cut == 0);
 }
 
+TEST_CASE("gateway_gracePeriodShorterThanThePropagationDelay_requestIsAnswered")
+{
+  // The platform ends the process after the grace period, whatever it does.
+  constexpr Duration kGrace = milliseconds(1500);
+  static_assert(kGrace < kReadinessPropagationDelay);
+  GatewayFixture fixture({ { "HTTP/1.1 200 X\r\nLaburnum-Attempt: $ID\r\n"
+                             "Laburnum-Signature: s\r\n"
+                             "Content-Length: 100\r\n\r\n" } },
+                         1,
+                         kGrace);
+  std::string received;
+  fixture.loop.spawn(
+    fixture.exchangeAsync("POST /once/x HTTP/1.1\r\nHost: h\r\n"
+                          "Laburnum-Attempt: a1\r\nContent-Length: 0\r\n\r\n",
+                          received));
+  bool isKilled = false;
+  fixture.loop.spawn([](Loop& aLoop, bool& aIsKilled) -> asio::awaitable<void> {
+    co_await aLoop.sleep(kGrace);
+    aIsKilled = true;
+    aLoop.stop();
+  }(fixture.loop, isKilled));
+  fixture.gateway.stopGracefully();
+  fixture.loop.run();
+  CHECK_FALSE(isKilled);
+  CHECK(statusOf(received) == 504);
+}
+
 TEST_CASE("gateway_serverStillAtWorkWhenTheStopEnds_requestIsAnswered")
 {
   const std::string unfinished =
