Contract: times of the policy object may have a fraction

The same cause as in the settings: quarantine_s and map_plan_s were read as integers, and a policy with 7.5 was refused.

The new test failed before (refused); wrong values stay refused.

--- a/agent/src/agent.cpp
+++ b/agent/src/agent.cpp
@@ -49,7 +49,7 @@
   hooks.configured = [this](const contract::Object& aObject) {
     if (aObject.kind == "policy") {
       const contract::PolicyRule& rule = mNode.store().policy();
-      mQuarantine.setRefusalDuration(seconds(rule.quarantineSeconds));
+      mQuarantine.setRefusalDuration(rule.quarantine);
       if (!mScheduler.reconfigure(rule.queue, rule.admission)) {
         log(
           LogLevel::Error, "unknown_queue_policy", { { "queue", rule.queue } });
@@ -189,7 +189,7 @@
     const policy::SuspicionRecord suspect{
       .fingerprint = aOrder.fingerprint,
       .crashes = 1,
-      .remaining = seconds(mNode.store().policy().quarantineSeconds)
+      .remaining = mNode.store().policy().quarantine
     };
     mQuarantine.merge({ &suspect, 1 }, now);
   }
--- a/agent/src/group_maps.cpp
+++ b/agent/src/group_maps.cpp
@@ -221,7 +221,7 @@
   if (!mChange) {
     mChange = std::make_unique<experts::MapChange>(mGroup->size);
   }
-  mChange->setPlanInterval(seconds(mNode.store().policy().mapPlanSeconds));
+  mChange->setPlanInterval(mNode.store().policy().mapPlanInterval);
   experts::GroupView view{ .epoch = mGroup->epoch,
                            .step = mGroup->step,
                            .stepsPerSecond = mStepsPerSecond };
--- a/contract/include/laburnum/contract/contract.hpp
+++ b/contract/include/laburnum/contract/contract.hpp
@@ -74,12 +74,13 @@
 {
   std::string routing = "weighted_load";
   std::string queue = "short_first";
-  bool admission = true;    ///< Refuse what can't start in time.
-  double retryShare = 0.05; ///< Retries allowed per first attempt.
-  int quarantineSeconds = 600;
+  bool admission = true;              ///< Refuse what can't start in time.
+  double retryShare = 0.05;           ///< Retries allowed per first attempt.
+  Duration quarantine = seconds(600); ///< Of requests that crash servers.
   double weightStoreGigabytesPerSecond = 1;
-  int mapPlanSeconds = 60; ///< Between plans of a group's expert map.
-  int parallelLoads = 2;   ///< Models loaded at once; they share the store.
+  /// Between plans of a group's expert map.
+  Duration mapPlanInterval = seconds(60);
+  int parallelLoads = 2; ///< Models loaded at once; they share the store.
 };
 
 /// Parses and checks a contract; the failure lists every fault by path.
--- a/contract/src/contract.cpp
+++ b/contract/src/contract.cpp
@@ -5,6 +5,8 @@
 namespace laburnum::contract {
 namespace {
 
+constexpr Duration kMinInterval = milliseconds(1);
+constexpr Duration kMaxInterval = std::chrono::hours(24);
 constexpr double kMaxShare = 1e6;
 constexpr double kMaxRate = 1e6;
 constexpr std::size_t kKeyLabelSize = 71; // "sha256:" and 64 digits
@@ -148,10 +150,13 @@
   rule.queue = reader.text("queue", rule.queue);
   rule.admission = reader.boolean("admission", rule.admission);
   rule.retryShare = reader.number("retry_share", rule.retryShare, 0, 1);
-  rule.quarantineSeconds = static_cast<int>(
-    reader.integer("quarantine_s", rule.quarantineSeconds, 1, 86400));
-  rule.mapPlanSeconds = static_cast<int>(
-    reader.integer("map_plan_s", rule.mapPlanSeconds, 1, 86400));
+  const auto readSeconds = [&reader](std::string_view aName,
+                                     Duration aDefault) {
+    return reader.duration(
+      aName, seconds(1), aDefault, kMinInterval, kMaxInterval);
+  };
+  rule.quarantine = readSeconds("quarantine_s", rule.quarantine);
+  rule.mapPlanInterval = readSeconds("map_plan_s", rule.mapPlanInterval);
   rule.weightStoreGigabytesPerSecond = reader.number(
     "weight_store_gb_s", rule.weightStoreGigabytesPerSecond, 0.001, 1e6);
   rule.parallelLoads = static_cast<int>(
--- a/contract/tests/unit_contract.cpp
+++ b/contract/tests/unit_contract.cpp
@@ -74,6 +74,22 @@
   }
 }
 
+TEST_CASE("ParsePolicyRule, times as fractions, are exact")
+{
+  const auto parse = [](const std::string& aText) {
+    return parsePolicyRule(*parseDocument(aText), "policy");
+  };
+  const auto rule =
+    parse(R"({"quarantine_s":7.5,"map_plan_s":0.25,"parallel_loads":2.0})");
+  REQUIRE(rule);
+  CHECK(rule->quarantine == milliseconds(7500));
+  CHECK(rule->mapPlanInterval == milliseconds(250));
+  CHECK(rule->parallelLoads == 2);
+  CHECK_FALSE(parse(R"({"quarantine_s":-7.5})"));
+  CHECK_FALSE(parse(R"({"map_plan_s":0})"));
+  CHECK_FALSE(parse(R"({"parallel_loads":1.5})"));
+}
+
 TEST_CASE("ParseSettings, faulty files, name place and remedy")
 {
   struct Row
--- a/entry/src/entry.cpp
+++ b/entry/src/entry.cpp
@@ -123,7 +123,7 @@
   }
   const contract::PolicyRule& rule = mNode.store().policy();
   mBudgets.setRetryShare(rule.retryShare);
-  mQuarantine.setRefusalDuration(seconds(rule.quarantineSeconds));
+  mQuarantine.setRefusalDuration(rule.quarantine);
   if (!mRouter.setPolicy(rule.routing)) {
     log(LogLevel::Error,
         "unknown_routing_policy",
