--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -74,6 +74,12 @@
 
   ClientLimits limits() const;
   void waitForRequest();
+  /// Waits for the first byte of a request, without starting a timer.
+  void waitForFirstByte();
+  /// Receives bytes that have arrived; returns false if the client has left.
+  bool receiveAvailable();
+  /// Drops line ends before a request (RFC 9112, 2.2).
+  void skipEmptyLines();
   void readHead();
   void readBody();
   void startRequest();
@@ -91,6 +97,8 @@
   http::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   std::shared_ptr<RequestForwarder> mForwarder;
+  /// Keeps this object while a request is in progress, which points to it.
+  std::shared_ptr<ClientConnection> mSelf;
   std::string mWriteBuffer;
   std::string mPendingBytes;
   Instant mAcceptedAt;
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -19,6 +19,8 @@
 /// Limit of the unsent bytes for a client that does not read; exceeding it
 /// aborts the response. Far above the size of the longest expected response.
 constexpr std::size_t kMaxPendingBytes = 1024 * 1024;
+/// Bytes that are received at once while no request is read.
+constexpr std::size_t kReadSize = 1024;
 /// Time to receive a request body; the limits of the configuration do not cover
 /// it.
 constexpr Duration kBodyTimeout = seconds(10);
@@ -73,6 +75,8 @@
 ClientConnection::start()
 {
   http::boundSilence(mSocket);
+  ErrorCode ignored; // Later operations fail as well.
+  mSocket.non_blocking(true, ignored);
   waitForRequest();
 }
 
@@ -103,21 +107,57 @@
 ClientConnection::waitForRequest()
 {
   mIsReading = false;
+  skipEmptyLines();
   if (mBuffer.size() > 0) {
     readHead();
     return;
   }
   setTimer(limits().idleTimeout, 0);
+  waitForFirstByte();
+}
+
+void
+ClientConnection::waitForFirstByte()
+{
   mSocket.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](ErrorCode aError) {
-                       if (aError || self->mClosed) {
+                       if (self->mClosed) {
+                         return;
+                       }
+                       if (aError || !self->receiveAvailable()) {
                          self->close();
                          return;
                        }
-                       self->readHead();
+                       self->skipEmptyLines();
+                       if (self->mBuffer.size() > 0) {
+                         self->readHead();
+                       } else {
+                         self->waitForFirstByte();
+                       }
                      });
 }
 
+bool
+ClientConnection::receiveAvailable()
+{
+  ErrorCode error;
+  const std::size_t received = mSocket.receive(
+    mBuffer.prepare(kReadSize), asio::socket_base::message_flags(0), error);
+  mBuffer.commit(error ? 0 : received);
+  return !error || error == asio::error::would_block;
+}
+
+void
+ClientConnection::skipEmptyLines()
+{
+  const auto* bytes = static_cast<const char*>(mBuffer.data().data());
+  std::size_t end = 0;
+  while (end < mBuffer.size() && (bytes[end] == '\r' || bytes[end] == '\n')) {
+    ++end;
+  }
+  mBuffer.consume(end);
+}
+
 void
 ClientConnection::readHead()
 {
@@ -192,6 +232,7 @@
   mForwarder =
     std::make_shared<RequestForwarder>(mContext, *this, mParser->release());
   watchForDisconnect();
+  mSelf = shared_from_this();
   const auto forwarder = mForwarder;
   forwarder->start();
 }
@@ -199,6 +240,8 @@
 void
 ClientConnection::watchForDisconnect()
 {
+  // Bytes that arrive now belong to the next request. They have to be read, as
+  // they would hide that the client has left.
   mSocket.async_wait(
     tcp::socket::wait_read,
     [self = shared_from_this(), request = mRequestCount](ErrorCode aError) {
@@ -206,17 +249,10 @@
           request != self->mRequestCount) {
         return;
       }
-      char peek = 0;
-      ErrorCode error = aError;
-      if (!error) {
-        self->mSocket.non_blocking(true, error);
-        self->mSocket.receive(
-          asio::buffer(&peek, 1), asio::socket_base::message_peek, error);
-      }
-      // Pending bytes belong to the next request and are not read yet. They
-      // hide a close until the response is written.
-      if (error && error != asio::error::would_block) {
+      if (aError || !self->receiveAvailable()) {
         self->close();
+      } else if (self->mBuffer.size() < self->limits().headerBytes) {
+        self->watchForDisconnect();
       }
     });
 }
@@ -321,6 +357,7 @@
 ClientConnection::finishResponse()
 {
   mForwarder.reset();
+  const auto self = std::move(mSelf);
   if (!mKeepAlive) {
     // Closing with unread bytes would reset the connection and discard the
     // response.
@@ -391,6 +428,7 @@
     mForwarder = nullptr;
     forwarder->clientDisconnected();
   }
+  mSelf.reset();
 }
 
 } // namespace laburnum::gateway
--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -43,6 +43,7 @@
   std::vector<http::Request> requests;
   std::size_t connections = 0;
   bool isConnectionClosed = false;
+  Duration workTime{ 0 }; ///< Until a request is answered.
 
 private:
   asio::awaitable<void> accept()
@@ -72,6 +73,9 @@
       if (at != std::string::npos) {
         text.replace(at, 3, std::string(request["Laburnum-Attempt"]));
       }
+      if (workTime > Duration(0)) {
+        co_await mLoop.sleep(workTime);
+      }
       const bool isReset = text.ends_with("$RESET");
       if (isReset) {
         text.resize(text.size() - std::string_view("$RESET").size());
@@ -292,6 +296,32 @@
     loop.stop();
   }
 
+  /// Sends texts on one connection, with a pause before each but the first,
+  /// and receives all bytes until the connection is closed.
+  asio::awaitable<void> sendPieces(std::vector<std::string> aTexts,
+                                   Duration aPause,
+                                   std::string& aReceived)
+  {
+    Socket socket(loop.context());
+    co_await socket.async_connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(),
+                    gateway.clientAddress().port),
+      use_awaitable);
+    socket.set_option(tcp::no_delay(true));
+    boost::system::error_code error;
+    for (std::size_t i = 0; i < aTexts.size(); ++i) {
+      if (i > 0) {
+        co_await loop.sleep(aPause);
+      }
+      co_await asio::async_write(
+        socket, asio::buffer(aTexts[i]), redirect_error(use_awaitable, error));
+    }
+    co_await asio::async_read(socket,
+                              asio::dynamic_buffer(aReceived),
+                              redirect_error(use_awaitable, error));
+    loop.stop();
+  }
+
   std::size_t requestCount() const
   {
     std::size_t sum = 0;
--- /dev/null
+++ b/gateway/tests/unit_client_connection.cpp
@@ -0,0 +1,124 @@
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::gateway;
+
+namespace {
+
+constexpr Duration kWorkTime = milliseconds(120);
+constexpr Duration kPause = milliseconds(40);
+
+std::string
+requestText(std::string_view aPath, std::string_view aId, bool aIsLast = false)
+{
+  return "GET " + std::string(aPath) + " HTTP/1.1\r\nHost: h\r\n" +
+         (aIsLast ? "Connection: close\r\n" : "") +
+         "Laburnum-Attempt: " + std::string(aId) + "\r\n\r\n";
+}
+
+std::size_t
+countOf(const std::string& aText, std::string_view aPart)
+{
+  std::size_t count = 0;
+  for (std::size_t at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+/// A gateway in front of one server that works for `kWorkTime`.
+struct ClientConnectionFixture : GatewayFixture
+{
+  ClientConnectionFixture()
+    : GatewayFixture({ { response(200, kSignatureField, "done") } })
+  {
+    servers[0]->workTime = kWorkTime;
+  }
+
+  std::string send(std::vector<std::string> aTexts)
+  {
+    std::string received;
+    loop.spawn(sendPieces(std::move(aTexts), kPause, received));
+    loop.spawn(stopWhen(loop, [] { return false; }));
+    loop.run();
+    return received;
+  }
+};
+
+} // namespace
+
+TEST_CASE("gateway_nextRequestSentAhead_bothAreAnsweredInOrder")
+{
+  ClientConnectionFixture fixture;
+  const std::string received = fixture.send(
+    { requestText("/safe/1", "a1"), requestText("/safe/2", "a2", true) });
+  CHECK(countOf(received, "HTTP/1.1 200") == 2);
+  CHECK(received.find("Attempt: a1") < received.find("Attempt: a2"));
+  CHECK(fixture.requestCount() == 2);
+}
+
+TEST_CASE("gateway_bytesSentAheadInPieces_areOneRequest")
+{
+  ClientConnectionFixture fixture;
+  const std::string next = requestText("/safe/2", "a2", true);
+  const std::string received = fixture.send({ requestText("/safe/1", "a1"),
+                                              next.substr(0, 9),
+                                              next.substr(9, 20),
+                                              next.substr(29) });
+  CHECK(countOf(received, "HTTP/1.1 200") == 2);
+}
+
+TEST_CASE("gateway_emptyLinesBetweenRequests_areIgnored")
+{
+  // RFC 9112, 2.2: some clients send an empty line after a body.
+  ClientConnectionFixture fixture;
+  const std::string received =
+    fixture.send({ requestText("/safe/1", "a1"),
+                   "\r\n",
+                   "\r",
+                   "\n",
+                   "\r\n\r\n",
+                   "\r\n" + requestText("/safe/2", "a2", true) });
+  CHECK(countOf(received, "HTTP/1.1 200") == 2);
+  CHECK(countOf(received, "HTTP/1.1") == 2);
+}
+
+TEST_CASE("gateway_moreBytesSentAheadThanARequestMayHave_requestIsAnswered")
+{
+  ClientConnectionFixture fixture;
+  const std::string received =
+    fixture.send({ requestText("/safe/1", "a1"),
+                   "GET /" + std::string(500'000, 'x'),
+                   std::string(500'000, 'x') });
+  CHECK(countOf(received, "HTTP/1.1 200") == 1);
+  CHECK(countOf(received, "HTTP/1.1 4") <= 1);
+}
+
+TEST_CASE("gateway_clientSendsAheadAndLeaves_requestIsCancelled")
+{
+  ClientConnectionFixture fixture;
+  fixture.servers[0]->workTime = seconds(5);
+  fixture.loop.spawn(
+    [](ClientConnectionFixture& aFixture) -> asio::awaitable<void> {
+      Socket socket(aFixture.loop.context());
+      co_await socket.async_connect(
+        tcp::endpoint(asio::ip::address_v4::loopback(),
+                      aFixture.gateway.clientAddress().port),
+        use_awaitable);
+      for (const char* id : { "a1", "a2" }) {
+        co_await asio::async_write(
+          socket, asio::buffer(requestText("/safe/1", id)), use_awaitable);
+        co_await aFixture.loop.sleep(kPause);
+      }
+    }(fixture));
+  fixture.loop.spawn(stopWhen(fixture.loop, [&] {
+    return !fixture.servers[0]->requests.empty() &&
+           fixture.gateway.context().selector.inFlight("i-1") == 0;
+  }));
+  fixture.loop.run();
+  CHECK(fixture.gateway.context().selector.inFlight("i-1") == 0);
+  CHECK(fixture.requestCount() == 1);
+}
