--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -89,7 +89,10 @@
   void onWritten(ErrorCode aError);
   void finishResponse();
   void close();
+  /// Rejects the request with a status when the time has passed, or closes the
+  /// connection if the status is 0. Replaces the timer that is running.
   void setTimer(Duration aTime, unsigned aStatus);
+  void cancelTimer();
 
   Context& mContext;
   Socket mSocket;
@@ -103,6 +106,7 @@
   std::string mPendingBytes;
   Instant mAcceptedAt;
   std::uint64_t mRequestCount = 0;
+  std::uint64_t mTimerNumber = 0; ///< Of the timer that counts.
   bool mIsReading = false;
   bool mIsWriting = false;
   bool mKeepAlive = true;
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -83,17 +83,28 @@
 void
 ClientConnection::setTimer(Duration aTime, unsigned aStatus)
 {
+  // Cancelling a timer has no effect on a handler that is queued already, as
+  // after a freeze of the process.
+  const std::uint64_t number = ++mTimerNumber;
   mTimer.expires_after(aTime);
-  mTimer.async_wait([self = shared_from_this(), aStatus](ErrorCode aError) {
-    if (aError || self->mClosed) {
-      return;
-    }
-    if (aStatus != 0) {
-      self->rejectUnread(aStatus, Error::RequestTimeout);
-    } else {
-      self->close();
-    }
-  });
+  mTimer.async_wait(
+    [self = shared_from_this(), aStatus, number](ErrorCode aError) {
+      if (aError || self->mClosed || number != self->mTimerNumber) {
+        return;
+      }
+      if (aStatus != 0) {
+        self->rejectUnread(aStatus, Error::RequestTimeout);
+      } else {
+        self->close();
+      }
+    });
+}
+
+void
+ClientConnection::cancelTimer()
+{
+  ++mTimerNumber;
+  mTimer.cancel();
 }
 
 ClientLimits
@@ -172,8 +183,8 @@
     mBuffer,
     *mParser,
     [self = shared_from_this()](ErrorCode aError, std::size_t) {
-      if (self->mClosed) {
-        return;
+      if (self->mClosed || !self->mIsReading) {
+        return; // A request that was rejected meanwhile must not run.
       }
       if (!aError) {
         self->readBody();
@@ -208,7 +219,7 @@
                     mBuffer,
                     *mParser,
                     [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                      if (self->mClosed) {
+                      if (self->mClosed || !self->mIsReading) {
                         return;
                       }
                       if (aError == bhttp::error::body_limit) {
@@ -224,7 +235,7 @@
 void
 ClientConnection::startRequest()
 {
-  mTimer.cancel();
+  cancelTimer();
   mIsReading = false;
   ++mRequestCount;
   mResponseComplete = false;
@@ -260,6 +271,7 @@
 void
 ClientConnection::rejectUnread(unsigned aStatus, Error aError)
 {
+  cancelTimer();
   mIsReading = false;
   mKeepAlive = false;
   mBuffer.consume(mBuffer.size());
@@ -420,7 +432,7 @@
     return;
   }
   mClosed = true;
-  mTimer.cancel();
+  cancelTimer();
   ErrorCode ignored; // The connection is discarded either way.
   mSocket.close(ignored);
   if (mForwarder) {
--- a/gateway/tests/unit_client_connection.cpp
+++ b/gateway/tests/unit_client_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fixture.hpp"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace laburnum;
 using namespace laburnum::gateway;
@@ -122,3 +123,78 @@
   CHECK(fixture.gateway.context().selector.inFlight("i-1") == 0);
   CHECK(fixture.requestCount() == 1);
 }
+
+namespace {
+
+/// Sends a request of a route that may run once, with the end of its head or of
+/// its body just before the process stands still beyond the timeout for it.
+asio::awaitable<void>
+sendAroundAFreeze(ClientConnectionFixture& aFixture,
+                  std::string aBegin,
+                  std::string aEnd,
+                  Duration aFreeze,
+                  std::string& aReceived)
+{
+  Socket socket(aFixture.loop.context());
+  co_await socket.async_connect(
+    tcp::endpoint(asio::ip::address_v4::loopback(),
+                  aFixture.gateway.clientAddress().port),
+    use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(aBegin), use_awaitable);
+  co_await aFixture.loop.sleep(milliseconds(30));
+  boost::system::error_code error;
+  asio::write(socket, asio::buffer(aEnd), error);
+  std::this_thread::sleep_for(aFreeze);
+  co_await asio::async_read(socket,
+                            asio::dynamic_buffer(aReceived),
+                            redirect_error(use_awaitable, error));
+  // A request that runs after its refusal reaches the server by now.
+  co_await aFixture.loop.sleep(kWorkTime);
+  aFixture.loop.stop();
+}
+
+} // namespace
+
+TEST_CASE("gateway_frozenWhileAHeadArrives_refusedRequestIsNotRun")
+{
+  for (const std::size_t split : { 1U, 40U, 60U }) {
+    ClientConnectionFixture fixture;
+    Configuration configuration = *fixture.gateway.context().configuration;
+    configuration.version = 2;
+    configuration.limits.headerTimeout = milliseconds(100);
+    fixture.gateway.applyConfiguration(std::move(configuration));
+    std::string text = requestText("/once/1", "a1", true);
+    text.replace(0, 3, "POST");
+    std::string received;
+    fixture.loop.spawn(sendAroundAFreeze(fixture,
+                                         text.substr(0, split),
+                                         text.substr(split),
+                                         milliseconds(250),
+                                         received));
+    fixture.loop.spawn(stopWhen(fixture.loop, [] { return false; }));
+    fixture.loop.run();
+    CAPTURE(split, received);
+    CHECK(countOf(received, "HTTP/1.1") == 1);
+    CHECK(fixture.requestCount() == (statusOf(received) == 408 ? 0U : 1U));
+  }
+}
+
+TEST_CASE("gateway_frozenBeyondTheIdleTimeout_requestIsAnswered")
+{
+  ClientConnectionFixture fixture;
+  Configuration configuration = *fixture.gateway.context().configuration;
+  configuration.version = 2;
+  configuration.limits.idleTimeout = milliseconds(100);
+  fixture.gateway.applyConfiguration(std::move(configuration));
+  std::string received;
+  fixture.loop.spawn(sendAroundAFreeze(fixture,
+                                       "",
+                                       requestText("/safe/1", "a1") +
+                                         requestText("/safe/2", "a2", true),
+                                       milliseconds(250),
+                                       received));
+  fixture.loop.spawn(stopWhen(fixture.loop, [] { return false; }));
+  fixture.loop.run();
+  CAPTURE(received);
+  CHECK(countOf(received, "HTTP/1.1 200") == 2);
+}
