--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -110,6 +110,7 @@
   bool mIsReading = false;
   bool mIsWriting = false;
   bool mKeepAlive = true;
+  bool mIsHead = false; ///< The answer has no body (RFC 9110, 9.3.2).
   bool mResponseComplete = false;
   bool mClosed = false;
 };
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -240,6 +240,7 @@
   ++mRequestCount;
   mResponseComplete = false;
   mKeepAlive = mParser->get().keep_alive();
+  mIsHead = mParser->get().method() == bhttp::verb::head;
   mForwarder =
     std::make_shared<RequestForwarder>(mContext, *this, mParser->release());
   watchForDisconnect();
@@ -274,6 +275,7 @@
   cancelTimer();
   mIsReading = false;
   mKeepAlive = false;
+  mIsHead = mParser && mParser->get().method() == bhttp::verb::head;
   mBuffer.consume(mBuffer.size());
   log(LogLevel::Info,
       "request_unread",
@@ -293,7 +295,9 @@
     aResponse.prepare_payload();
   }
   mPendingBytes += formatHeader(aResponse);
-  mPendingBytes += aResponse.body();
+  if (!mIsHead) {
+    mPendingBytes += aResponse.body();
+  }
   mResponseComplete = true;
   flush();
 }
@@ -317,16 +321,18 @@
     close();
     return;
   }
-  char size[32];
-  std::snprintf(size, sizeof(size), "%zx\r\n", aBytes.size());
-  mPendingBytes.append(size).append(aBytes).append("\r\n");
+  if (!mIsHead) {
+    char size[32];
+    std::snprintf(size, sizeof(size), "%zx\r\n", aBytes.size());
+    mPendingBytes.append(size).append(aBytes).append("\r\n");
+  }
   flush();
 }
 
 void
 ClientConnection::endEventStream()
 {
-  mPendingBytes += "0\r\n\r\n";
+  mPendingBytes += mIsHead ? "" : "0\r\n\r\n";
   mResponseComplete = true;
   flush();
 }
--- a/gateway/tests/unit_client_connection.cpp
+++ b/gateway/tests/unit_client_connection.cpp
@@ -124,6 +124,54 @@
   CHECK(fixture.requestCount() == 1);
 }
 
+TEST_CASE("gateway_ownAnswersToHead_haveNoBody")
+{
+  // The body would be read as the begin of the next answer.
+  const std::string key = "Authorization: Bearer wrong\r\n";
+  struct Row
+  {
+    std::string path;
+    std::string fields;
+    unsigned status;
+  };
+  const Row rows[]{
+    { "/removed/1", "", 404 },
+    { "/key/1", key, 401 },
+    { "/safe/1", "A: " + std::string(100'000, 'x') + "\r\n", 431 }
+  };
+  for (const Row& row : rows) {
+    ClientConnectionFixture fixture;
+    const std::string received =
+      fixture.send({ "HEAD " + row.path +
+                       " HTTP/1.1\r\nHost: h\r\nLaburnum-Attempt: a1\r\n" +
+                       row.fields + "\r\n",
+                     requestText("/safe/2", "a2", true) });
+    CAPTURE(received);
+    CHECK(statusOf(received) == row.status);
+    const std::size_t end = received.find("\r\n\r\n") + 4;
+    CHECK((end == received.size() ||
+           received.compare(end, 12, "HTTP/1.1 200") == 0));
+    CHECK(received.find("Content-Length: 0") == std::string::npos);
+  }
+}
+
+TEST_CASE("gateway_answerOfAServerToHead_hasNoBody")
+{
+  GatewayFixture fixture({ { "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\n"
+                             "Laburnum-Signature: s\r\n"
+                             "Content-Length: 4\r\n\r\n",
+                             response(200, kSignatureField, "done") } });
+  std::string received;
+  fixture.loop.spawn(fixture.exchangeAsync(
+    "HEAD /safe/1 HTTP/1.1\r\nHost: h\r\nLaburnum-Attempt: a1\r\n\r\n" +
+      requestText("/safe/2", "a2", true),
+    received));
+  fixture.loop.run();
+  CAPTURE(received);
+  CHECK(countOf(received, "HTTP/1.1 200") == 2);
+  CHECK(countOf(received, "done") == 1);
+}
+
 namespace {
 
 /// Sends a request of a route that may run once, with the end of its head or of
--- a/http/include/laburnum/http/server.hpp
+++ b/http/include/laburnum/http/server.hpp
@@ -71,6 +71,7 @@
   const contract::Limits& mLimits;
   beast::flat_buffer mBuffer;
   bool mKeepAlive = true;
+  bool mIsHead = false; ///< The answer has no body (RFC 9110, 9.3.2).
   std::uint64_t mWatch = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -125,6 +125,7 @@
         aStream, mBuffer, parser, redirect_error(use_awaitable, error));
     });
   }
+  mIsHead = parser.get().method() == bhttp::verb::head;
   if (error == bhttp::error::header_limit) {
     co_await refuse(431, Error::HeaderTooLarge);
   } else if (error == bhttp::error::body_limit) {
@@ -157,6 +158,9 @@
   ErrorCode error;
   aResponse.keep_alive(mKeepAlive);
   aResponse.prepare_payload();
+  if (mIsHead) {
+    aResponse.body().clear();
+  }
   tcp().expires_after(kWriteTimeout);
   co_await withStream([&](auto& aStream) {
     return bhttp::async_write(
@@ -189,6 +193,9 @@
 asio::awaitable<bool>
 Session::writeChunk(std::string aData)
 {
+  if (mIsHead) {
+    co_return true;
+  }
   ErrorCode error;
   tcp().expires_after(kWriteTimeout);
   co_await withStream([&](auto& aStream) {
@@ -203,6 +210,10 @@
 asio::awaitable<bool>
 Session::endChunks()
 {
+  if (mIsHead) {
+    tcp().expires_never();
+    co_return true;
+  }
   ErrorCode error;
   tcp().expires_after(kWriteTimeout);
   co_await withStream([&](auto& aStream) {
--- a/http/tests/unit_http.cpp
+++ b/http/tests/unit_http.cpp
@@ -133,6 +133,17 @@
   CHECK(verdict == Verdict::NotRun);
 }
 
+TEST_CASE_METHOD(ServerFixture,
+                 "Session, answer to HEAD, has the length and no body")
+{
+  const std::string answer =
+    exchange("HEAD / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+             "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  CHECK(answer.find("Content-Length: 3\r\n") != std::string::npos);
+  CHECK(answer.find("\r\n\r\nHTTP/1.1 200") != std::string::npos);
+  CHECK(answer.find("abc") == std::string::npos);
+}
+
 TEST_CASE("SseReader, events in any pieces, come out whole")
 {
   const std::string stream =
