--- a/experts/include/laburnum/experts/map_change.hpp
+++ b/experts/include/laburnum/experts/map_change.hpp
@@ -70,9 +70,9 @@
                                  const GroupView& aGroup,
                                  std::uint64_t aFencingToken);
 
-  /// Ends the change in progress without an outcome, for a daemon that no longer
-  /// holds the duty. The epoch is not used again, as the daemon may hold the
-  /// duty again with the same fencing token.
+  /// Ends the change in progress without an outcome, for a daemon that no
+  /// longer holds the duty. The epoch is not used again, as the daemon may hold
+  /// the duty again with the same fencing token.
   void abandon();
 
   /// Records that a rank has loaded the weights of an epoch.
--- a/gateway/include/laburnum/gateway/configuration.hpp
+++ b/gateway/include/laburnum/gateway/configuration.hpp
@@ -67,13 +67,13 @@
   double perSequenceMs = 0; ///< Added per generating sequence.
   double contextMsPerKiloToken = 0;  ///< Added per 1,000 tokens of context.
   double prefillTokensPerSecond = 1; ///< Rate at which prompts are processed.
-  int stepsPerPass = 1;     ///< Token steps per pass while sequences generate.
+  int stepsPerPass = 1; ///< Token steps per pass while sequences generate.
   double meanOutputTokens = 0; ///< Mean length of a response.
-  int layerSets = 0;        ///< Sets of layers with experts; 0: no experts.
-  int experts = 0;          ///< Experts per set.
-  int expertSlots = 0;      ///< Experts that fit on a rank, per set.
-  double expertRatio = 0;   ///< Fraction of the work per token done by experts.
-  int standbySlots = 0;     ///< Experts that a map change may copy to a rank.
+  int layerSets = 0;           ///< Sets of layers with experts; 0: no experts.
+  int experts = 0;             ///< Experts per set.
+  int expertSlots = 0;         ///< Experts that fit on a rank, per set.
+  double expertRatio = 0; ///< Fraction of the work per token done by experts.
+  int standbySlots = 0;   ///< Experts that a map change may copy to a rank.
   Duration expertCopyTime{ 0 }; ///< Time to copy one expert to a rank.
 
   /// Duration of a pass without sequences.
