Gateway: connections do not outlive a gateway that is destroyed

The daemon ends its process then, so no caller was affected.

Change: the destructor ends that ownership. incident_server_limit with sanitizers: leak before, passed after.

--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -51,6 +51,10 @@
   /// Closes the connection without completing the response.
   void abort();
 
+  /// Ends the ownership of this object by its request in progress, for a
+  /// gateway that is destroyed.
+  void release() { mSelf.reset(); }
+
   /// Forwards to `RequestForwarder::migrateFrom` if a request is in progress.
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
 
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -22,6 +22,8 @@
 public:
   Gateway(Loop& aLoop, const contract::Settings& aSettings, HeaderNames aNames);
 
+  ~Gateway();
+
   /// Starts listening. Throws `boost::system::system_error` if an address
   /// cannot be bound.
   /// @pre Called once.
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -76,6 +76,13 @@
 {
 }
 
+Gateway::~Gateway()
+{
+  for (const auto& client : openClients()) {
+    client->release();
+  }
+}
+
 void
 Gateway::start()
 {
