--- a/experts/include/laburnum/experts/map_versions.hpp
+++ b/experts/include/laburnum/experts/map_versions.hpp
@@ -7,8 +7,8 @@
 namespace laburnum::experts {
 
 /// Chooses versions of expert maps, so that no two orders give one version to
-/// different maps. Ranks compare only versions, and a late order may name one
-/// that was chosen long ago.
+/// different maps. Ranks compare only versions, and a late order may name an
+/// earlier one.
 ///
 /// Versions grow with the time of day, which is larger than in any earlier
 /// process, and beyond every version that was observed, in case a clock was
--- a/gateway/tests/unit_client_connection.cpp
+++ b/gateway/tests/unit_client_connection.cpp
@@ -175,7 +175,7 @@
 namespace {
 
 /// Sends a request of a route that may run once, with the end of its head or of
-/// its body just before the process stands still beyond the timeout for it.
+/// its body just before the process is frozen for longer than its timeout.
 asio::awaitable<void>
 sendAroundAFreeze(ClientConnectionFixture& aFixture,
                   std::string aBegin,
