--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -88,6 +88,7 @@
   void migrateIfSlow(const ServerRecord& aServer);
   /// Checks for silent servers and stewards, a few times a second.
   asio::awaitable<void> maintain();
+  void logLoad();
   void applyGroupStatus(const std::string& aService,
                         const GroupStatus& aStatus);
   void retireServers(const std::vector<std::string>& aIds,
@@ -104,6 +105,8 @@
   bool mHasServers = false;
   StoreFreshness mFreshness;
   std::function<void()> mRestartWatches;
+  std::map<std::string, Instant> mStatusAt; ///< Last status, by service.
+  Duration mLongestStatusGap{ 0 };          ///< Since the last load line.
   GroupFollower mFollower;
 };
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -2,8 +2,10 @@
 
 #include "laburnum/kernel/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 
 namespace laburnum::gateway {
 namespace {
@@ -25,6 +27,8 @@
 /// time after which a rank counts as silent, about half of the time after which
 /// clients abandon a stream (PROTOCOL.md, Requests).
 constexpr Duration kMaintenanceInterval = milliseconds(250);
+/// Intervals of maintenance between two lines with the load of the gateway.
+constexpr int kIntervalsPerLoadLine = 8;
 /// Delay after a failed accept; clients wait one second for a new connection
 /// (PROTOCOL.md, Answers).
 constexpr Duration kAcceptRetryDelay = milliseconds(20);
@@ -286,11 +290,30 @@
   }
 }
 
+void
+Gateway::logLoad()
+{
+  const LoopDelay delay = mLoop.takeDelay();
+  log(LogLevel::Info,
+      "gateway_load",
+      { { "delay_ms", delay.longest.count() / 1000 },
+        { "mean_delay_us",
+          delay.total.count() /
+            static_cast<std::int64_t>(std::max<std::size_t>(1, delay.timers)) },
+        { "processor_ms", std::clock() * 1000 / CLOCKS_PER_SEC },
+        { "status_gap_ms", mLongestStatusGap.count() / 1000 },
+        { "in_progress", mContext.selector.inFlight() } });
+  mLongestStatusGap = Duration(0);
+}
+
 asio::awaitable<void>
 Gateway::maintain()
 {
-  for (;;) {
+  for (int interval = 1;; ++interval) {
     co_await mLoop.sleep(kMaintenanceInterval);
+    if (interval % kIntervalsPerLoadLine == 0) {
+      logLoad();
+    }
     mFollower.maintain();
     if (mRestartWatches && mFreshness.takeRestart(mLoop.now())) {
       ++mContext.metrics.counter("laburnum_gateway_watches_restarted_total");
@@ -317,6 +340,9 @@
   if (service == nullptr || !service->runtime) {
     return;
   }
+  Instant& statusAt = mStatusAt.try_emplace(aService, now).first->second;
+  mLongestStatusGap = std::max<Duration>(mLongestStatusGap, now - statusAt);
+  statusAt = now;
   mContext.selector.setGroupLoads(aService, aStatus, now);
   mContext.admissions[aService].recordStatus(aStatus,
                                              mContext.activeStreams[aService],
--- a/kernel/include/laburnum/kernel/loop.hpp
+++ b/kernel/include/laburnum/kernel/loop.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -13,6 +14,15 @@
 
 namespace asio = boost::asio;
 
+/// How late the timers of a loop expired, because handlers before them took
+/// long or the process got no processor time.
+struct LoopDelay
+{
+  Duration longest{ 0 };
+  Duration total{ 0 };
+  std::size_t timers = 0;
+};
+
 /// The one loop on the one thread of a process.
 /// Thread safety: every method on the loop's thread only.
 class Loop
@@ -48,11 +58,15 @@
   /// Suspends the calling coroutine. Pre: none.
   asio::awaitable<void> sleep(Duration aDuration);
 
+  /// Returns the delays of `sleep` since the previous call. Pre: none.
+  LoopDelay takeDelay();
+
   /// Calls a function every period until the loop ends. Pre: aPeriod > 0.
   void every(Duration aPeriod, std::function<void()> aTask);
 
 private:
   asio::io_context mContext;
+  LoopDelay mDelay;
 };
 
 /// A seed from the system's random device, for identities that must differ
--- a/kernel/src/loop.cpp
+++ b/kernel/src/loop.cpp
@@ -1,10 +1,12 @@
 #include "laburnum/kernel/loop.hpp"
 #include "laburnum/kernel/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <exception>
 #include <openssl/rand.h>
+#include <utility>
 
 namespace laburnum {
 
@@ -80,6 +82,17 @@
 {
   asio::steady_timer timer(mContext, aDuration);
   co_await timer.async_wait(asio::use_awaitable);
+  const Duration delay =
+    now() - std::chrono::time_point_cast<Duration>(timer.expiry());
+  mDelay.longest = std::max(mDelay.longest, delay);
+  mDelay.total += delay;
+  ++mDelay.timers;
+}
+
+LoopDelay
+Loop::takeDelay()
+{
+  return std::exchange(mDelay, {});
 }
 
 void
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -82,9 +82,17 @@
     bool hasEnded = false;
   };
   using RecoveryPtr = std::shared_ptr<Recovery>;
+  /// Work of the keeper since its load was last logged.
+  struct KeeperLoad
+  {
+    std::uint64_t reports = 0; ///< Of ranks.
+    Duration tickTime{ 0 };    ///< Of all ticks of the map controller.
+    Duration longestTick{ 0 };
+  };
 
   asio::awaitable<void> pollEngine();
   asio::awaitable<void> controlMap();
+  void logKeeperLoad();
   asio::awaitable<bool> readEngine(bool aWithCounts);
   asio::awaitable<void> executeOrder(std::uint64_t aEpoch,
                                      experts::EngineOrder aOrder);
@@ -193,6 +201,7 @@
   bool mHasNewGateway = false;     ///< It lacks the addresses.
   std::vector<wire::ServerAddress> mStatusServers; ///< As last received.
   std::uint64_t mStatusCount = 0;
+  KeeperLoad mKeeperLoad;
   StoreNews mNews;                ///< From the gateways linked to this steward.
   StoreNews mReportedNews;        ///< To the keeper.
   policy::Quarantine mQuarantine; ///< As the gateways report it.
--- a/steward/src/steward.cpp
+++ b/steward/src/steward.cpp
@@ -381,6 +381,7 @@
     requestFullReport(aLink, "the experts of the rank are unknown");
     return;
   }
+  ++mKeeperLoad.reports;
   RankPresence presence = decodePresence(aReport);
   presence.failureDomain =
     aLink ? aLink->peer().domain : mSettings.failureDomain;
@@ -402,7 +403,11 @@
 void
 Steward::tickMapController()
 {
-  sendOrders(mMapController->tick(mLoop.now(), nextVersion()));
+  const Instant start = mLoop.now();
+  sendOrders(mMapController->tick(start, nextVersion()));
+  const Duration time = mLoop.now() - start;
+  mKeeperLoad.tickTime += time;
+  mKeeperLoad.longestTick = std::max(mKeeperLoad.longestTick, time);
   if (mMapController->phase() != mLoggedPhase) {
     mLoggedPhase = mMapController->phase();
     log(LogLevel::Info,
--- a/steward/src/steward_status.cpp
+++ b/steward/src/steward_status.cpp
@@ -4,6 +4,12 @@
 
 #include "frames.hpp"
 
+#include "laburnum/kernel/log.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <utility>
+
 namespace laburnum::steward {
 namespace {
 
@@ -13,6 +19,8 @@
 /// Every so many statuses have the addresses of the ranks, for gateways that
 /// missed them.
 constexpr std::uint64_t kStatusesPerAddressList = 10;
+/// A line with the load of the keeper is written every so many statuses.
+constexpr std::uint64_t kStatusesPerLoadLine = 10;
 /// Above this the receiver does not keep up; further statuses are skipped.
 constexpr std::size_t kMaxUnsentStatusBytes = 16384;
 
@@ -84,6 +92,25 @@
   return status;
 }
 
+void
+Steward::logKeeperLoad()
+{
+  const LoopDelay delay = mLoop.takeDelay();
+  const KeeperLoad load = std::exchange(mKeeperLoad, {});
+  log(LogLevel::Info,
+      "keeper_load",
+      { { "delay_ms", delay.longest.count() / 1000 },
+        { "mean_delay_us",
+          delay.total.count() /
+            static_cast<std::int64_t>(std::max<std::size_t>(1, delay.timers)) },
+        { "processor_ms", std::clock() * 1000 / CLOCKS_PER_SEC },
+        { "reports", load.reports },
+        { "tick_ms", load.tickTime.count() / 1000 },
+        { "longest_tick_ms", load.longestTick.count() / 1000 },
+        { "pass_us", mMapController->passTime().count() },
+        { "skew", mMapController->skew() } });
+}
+
 asio::awaitable<void>
 Steward::publishStatus()
 {
@@ -94,6 +121,9 @@
     }
     const wire::GroupStatusT status = buildStatus();
     forwardStatus(status);
+    if (mStatusCount % kStatusesPerLoadLine == 0) {
+      logKeeperLoad();
+    }
     for (const auto& [rank, link] : mRankLinks) {
       if (mRelaysToGateways.contains(rank) &&
           link->unsent() < kMaxUnsentStatusBytes) {
