--- a/steward/include/laburnum/steward/map_duty.hpp
+++ b/steward/include/laburnum/steward/map_duty.hpp
@@ -130,6 +130,8 @@
     std::optional<RankUpdate> update;
     Instant updatedAt{};
   };
+  /// Measures the duration of passes from the states of the own rank.
+  void recordSteps(const experts::RankState& aState, Instant aNow);
   void addCounts(const RankUpdate& aUpdate, Instant aNow);
   /// Replaces the long-term loads by the recent ones if the load has shifted;
   /// returns whether it has.
@@ -166,6 +168,10 @@
   std::optional<std::pair<std::uint64_t, std::uint64_t>> mCurrentVersion;
   std::uint64_t mLastStep = 0; ///< Of the own rank.
   Instant mLastStepAt{};
+  std::optional<std::uint64_t> mLastHeld; ///< Of the own rank.
+  bool mHasWaited = false; ///< At a held step, since `mLastStepAt`.
+  double mPassSeconds = 0; ///< Decaying sum, in which `mPasses` were made.
+  double mPasses = 0;
   Duration mPassTime = milliseconds(50); ///< Smoothed.
   double mSkew = 1;
   std::size_t mPlannedCopies = 0;
--- a/steward/src/map_duty.cpp
+++ b/steward/src/map_duty.cpp
@@ -18,8 +18,8 @@
 /// Encoded size of an expert, or of the end of a rank's list, in a frame with a
 /// whole map.
 constexpr double kMapEntryBytes = 2;
-/// Weight of a new pass time in the exponential moving average.
-constexpr double kPassSmoothing = 0.3;
+/// Weight of new passes in the exponential moving average of their duration.
+constexpr double kPassSmoothing = 0.15;
 
 /// Repeats orders only after the answers of all ranks can have been processed:
 /// each repetition is answered too, and the keeper of a large group would fall
@@ -56,22 +56,37 @@
 {
 }
 
+void
+MapController::recordSteps(const experts::RankState& aState, Instant aNow)
+{
+  const auto isAt = [&aState](const std::optional<std::uint64_t>& aHeld) {
+    return aHeld && aState.step + 1 >= *aHeld;
+  };
+  mHasWaited = mHasWaited || isAt(mLastHeld) || isAt(aState.held);
+  mLastHeld = aState.held;
+  if (aState.step == mLastStep) {
+    return;
+  }
+  // The time at a held step is no pass: a longer one would shorten the lead of
+  // the next held step, and gateways would refuse streams.
+  if (aState.step > mLastStep && mLastStep > 0 && !mHasWaited) {
+    // A ratio of sums, since a mean of ratios overrates reads that are late.
+    const double weight = 1 - kPassSmoothing;
+    mPassSeconds = mPassSeconds * weight + toSeconds(aNow - mLastStepAt);
+    mPasses = mPasses * weight + static_cast<double>(aState.step - mLastStep);
+    mPassTime = fromSeconds(mPassSeconds / mPasses);
+  }
+  mHasWaited = isAt(aState.held);
+  mLastStep = aState.step;
+  mLastStepAt = aNow;
+}
+
 void
 MapController::update(const RankUpdate& aUpdate, Instant aNow)
 {
   Rank& rank = mRanks[aUpdate.rank];
   if (aUpdate.rank == mOwnRank) {
-    if (aUpdate.state.step > mLastStep && mLastStep > 0) {
-      const Duration pass =
-        (aNow - mLastStepAt) /
-        static_cast<std::int64_t>(aUpdate.state.step - mLastStep);
-      mPassTime += std::chrono::duration_cast<Duration>((pass - mPassTime) *
-                                                        kPassSmoothing);
-    }
-    if (aUpdate.state.step != mLastStep) {
-      mLastStep = aUpdate.state.step;
-      mLastStepAt = aNow;
-    }
+    recordSteps(aUpdate.state, aNow);
   }
   RankUpdate merged = aUpdate;
   if (merged.experts.empty() && rank.update &&
