--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -37,11 +38,15 @@
 
 // Orders to the engine of one rank.
 
+/// A map that the orders to all ranks share. The map of a large group takes
+/// longer to copy than its order to send.
+using SharedGroupMap = std::shared_ptr<const GroupMap>;
+
 /// Load the weights that a map version needs.
 struct PrepareOrder
 {
   std::uint64_t version = 0;
-  GroupMap map;
+  SharedGroupMap map; ///< Never null.
 };
 /// Use a prepared version from a step on.
 struct ArmOrder
@@ -200,7 +205,7 @@
 
   /// The map of the running change.
   /// @pre not `isIdle()`
-  const GroupMap& targetMap() const { return mMap; }
+  const GroupMap& targetMap() const { return *mMap; }
 
   bool isIdle() const { return mPhase == SwitchPhase::Idle; }
   SwitchPhase phase() const { return mPhase; }
@@ -243,7 +248,7 @@
   std::uint64_t mStep = 0; ///< Held for the present change; 0 for none.
   std::optional<Instant> mHoldSeenAt; ///< First sight of a hold while idle.
   std::optional<Instant> mArmRetryAt; ///< Last repetition of an arm order.
-  GroupMap mMap;
+  SharedGroupMap mMap;                ///< Null before the first change.
   Duration mCopyTime{ 0 };
   Instant mPhaseStart{};
   std::map<std::size_t, Instant> mSentAt; ///< Last order of the phase, by rank.
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -78,7 +78,7 @@
                   Duration aCopyTime)
 {
   mVersion = aVersion;
-  mMap = std::move(aMap);
+  mMap = std::make_shared<const GroupMap>(std::move(aMap));
   mCopyTime = aCopyTime;
   mEpoch = 0;
   enter(SwitchPhase::Preparing, aNow);
@@ -351,6 +351,7 @@
       return aState && isUndone(*aState);
     });
   Orders orders;
+  SharedGroupMap inForce;
   for (std::size_t rank = 0; rank < mRankCount; ++rank) {
     const auto& state = aStates[rank];
     const bool isArmedRank = state && state->armed;
@@ -361,7 +362,8 @@
     if (isArmedRank) {
       orders.push_back({ rank, DisarmOrder{ state->armed->version } });
     } else {
-      orders.push_back({ rank, PrepareOrder{ mUndoVersion, aInForce } });
+      inForce = inForce ? inForce : std::make_shared<const GroupMap>(aInForce);
+      orders.push_back({ rank, PrepareOrder{ mUndoVersion, inForce } });
     }
   }
   return orders;
--- a/experts/tests/unit_held_switch.cpp
+++ b/experts/tests/unit_held_switch.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/experts/held_switch.hpp"
 #include "laburnum/kernel/random.hpp"
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <deque>
@@ -634,3 +635,23 @@
           .empty());
   CHECK(change.isIdle());
 }
+
+TEST_CASE("held_switch_largeGroup_prepareOrdersShareOneMap")
+{
+  // A copy of the map for each rank takes the holder of a group of 192 ranks
+  // longer than all else that it does for a change.
+  constexpr std::size_t kManyRanks = 192;
+  HoldSteps steps;
+  HeldSwitch holder(0, kManyRanks, steps);
+  const std::vector<std::optional<RankState>> states(
+    kManyRanks, RankState{ .epoch = 1, .step = 40 });
+  const GroupMap map(10, { .slots = { kManyRanks, { 0, 1, 2 } } });
+  const Instant now{ seconds(100) };
+  holder.begin(7, map, now, milliseconds(100));
+  const auto orders = holder.tick(now, states, kStepTime, 8, map);
+  REQUIRE(orders.size() == kManyRanks);
+  const auto first = std::get<PrepareOrder>(orders[0].order).map;
+  CHECK(std::all_of(orders.begin(), orders.end(), [&](const auto& aOrder) {
+    return std::get<PrepareOrder>(aOrder.order).map == first;
+  }));
+}
--- a/steward/src/frames.cpp
+++ b/steward/src/frames.cpp
@@ -34,8 +34,8 @@
   {
     frame.kind = wire::RankOrderKind::Prepare;
     frame.version = aOrder.version;
-    frame.sets = static_cast<std::uint16_t>(aOrder.map.size());
-    frame.places = encodeMap(aOrder.map);
+    frame.sets = static_cast<std::uint16_t>(aOrder.map->size());
+    frame.places = encodeMap(*aOrder.map);
   }
   void operator()(const experts::ArmOrder& aOrder) const
   {
--- a/steward/src/steward_orders.cpp
+++ b/steward/src/steward_orders.cpp
@@ -41,7 +41,7 @@
   const auto versions = std::pair(mReport.state.inForce, aPrepare.version);
   if (mCachedChangeVersions != versions) {
     mCachedChangeVersions = versions;
-    mCachedChanges = diffMaps(mMapController->currentMap(), aPrepare.map);
+    mCachedChanges = diffMaps(mMapController->currentMap(), *aPrepare.map);
   }
   return mCachedChanges;
 }
@@ -77,7 +77,7 @@
                         const experts::PrepareOrder& aPrepare) const
 {
   return mMapController->hasFullMap(aRank) &&
-         mMapController->currentMap().size() == aPrepare.map.size();
+         mMapController->currentMap().size() == aPrepare.map->size();
 }
 
 wire::RankOrderT
@@ -247,12 +247,14 @@
   if (aOrder.kind != wire::RankOrderKind::Prepare) {
     mLoop.spawn(executeOrder(aOrder.epoch, decodeOrder(aOrder)));
   } else if (auto map = resolveMap(aOrder)) {
-    mMaps[aOrder.version] = *map;
+    const auto shared =
+      std::make_shared<const experts::GroupMap>(std::move(*map));
+    mMaps[aOrder.version] = *shared;
     while (mMaps.size() > kMaxStoredMaps) {
       mMaps.erase(mMaps.begin());
     }
-    mLoop.spawn(executeOrder(
-      aOrder.epoch, experts::PrepareOrder{ aOrder.version, std::move(*map) }));
+    mLoop.spawn(executeOrder(aOrder.epoch,
+                             experts::PrepareOrder{ aOrder.version, shared }));
   } else {
     log(LogLevel::Warn,
         "order_unreadable",
--- a/steward/tests/unit_frames.cpp
+++ b/steward/tests/unit_frames.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+experts::SharedGroupMap
+shared(experts::GroupMap aMap)
+{
+  return std::make_shared<const experts::GroupMap>(std::move(aMap));
+}
+
 /// Two maps of a group with three ranks and two sets of layers.
 struct MapsFixture
 {
@@ -86,7 +92,7 @@
   experts::GroupMap map = initialMap(2, 7, 3);
   map[1].slots[2].clear(); // A rank without experts in one set.
   wire::RankOrderT frame;
-  encodeOrder(frame, experts::PrepareOrder{ 5, map });
+  encodeOrder(frame, experts::PrepareOrder{ 5, shared(map) });
   const auto decoded = decodeMap(frame);
   REQUIRE(decoded);
   REQUIRE(decoded->size() == map.size());
@@ -101,7 +107,8 @@
   // 25 KB; after a failure of all stewards, sending it to every rank used the
   // whole bandwidth of the keeper's link.
   wire::RankOrderT frame;
-  encodeOrder(frame, experts::PrepareOrder{ 5, initialMap(12, 216, 72) });
+  encodeOrder(frame,
+              experts::PrepareOrder{ 5, shared(initialMap(12, 216, 72)) });
   std::string bytes;
   wire::encode(frame, bytes);
   CHECK(bytes.size() * 72 < 1000000);
@@ -110,7 +117,7 @@
 TEST_CASE("whole_map_truncated_isRejected")
 {
   wire::RankOrderT frame;
-  encodeOrder(frame, experts::PrepareOrder{ 5, initialMap(2, 7, 3) });
+  encodeOrder(frame, experts::PrepareOrder{ 5, shared(initialMap(2, 7, 3)) });
   frame.places.pop_back();
   CHECK_FALSE(decodeMap(frame));
   frame.places.clear();
--- a/steward/tests/unit_map_duty.cpp
+++ b/steward/tests/unit_map_duty.cpp
@@ -96,8 +96,8 @@
                   const experts::EngineOrder& aOrder)
   {
     if (const auto* prepare = std::get_if<experts::PrepareOrder>(&aOrder)) {
-      preparedMap = prepare->map;
-      mapsByVersion[prepare->version].insert(prepare->map[0].slots);
+      preparedMap = *prepare->map;
+      mapsByVersion[prepare->version].insert(preparedMap[0].slots);
       if (completesCopies) {
         aState.prepared = prepare->version;
       }
