--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -111,12 +111,16 @@
   /// Interval at which orders are repeated. The steward of a rank answers
   /// within a few ms, its engine at once.
   Duration retryInterval = milliseconds(60);
+  /// Orders to arm or to undo are not repeated before this time has passed
+  /// without a further answer.
+  Duration answerPause = milliseconds(40);
   /// Interval at which prepare orders are repeated, in addition to the expected
   /// copy time. With half of the orders lost, 16 ranks take five rounds.
   Duration prepareRetryInterval = milliseconds(80);
   Duration prepareTimeout = seconds(4); ///< Then the change is abandoned.
   Duration holdTimeout = milliseconds(900);
-  Duration armTimeout = milliseconds(1500); ///< Then the change is undone.
+  /// Time without a further armed rank, after which the change is undone.
+  Duration armTimeout = milliseconds(1500);
   /// Time after which a hold that belongs to no running change is taken over.
   /// It must be several times the interval at which states are read.
   Duration takeoverDelay = milliseconds(500);
@@ -222,8 +226,11 @@
                 std::uint64_t aUnusedVersion,
                 const GroupMap& aInForce);
   void enter(SwitchPhase aPhase, Instant aNow);
+  /// Records how many ranks have carried out the orders of the phase.
+  void recordAnswers(std::size_t aAnswers, Instant aNow);
   /// Returns true, and records the time, if no order was sent to the rank
-  /// within the interval.
+  /// within the interval and no answers are arriving, which a repetition would
+  /// only delay.
   bool startAttempt(std::size_t aRank, Instant aNow, Duration aInterval);
   Orders prepare(Instant aNow, const States& aStates);
   Orders hold(Instant aNow, const States& aStates, Duration aStepTime);
@@ -252,6 +259,8 @@
   Duration mCopyTime{ 0 };
   Instant mPhaseStart{};
   std::map<std::size_t, Instant> mSentAt; ///< Last order of the phase, by rank.
+  std::size_t mAnswers = 0; ///< Ranks that have carried out the phase's orders.
+  Instant mLastAnswerAt{};  ///< When `mAnswers` rose, or the phase began.
 };
 
 } // namespace laburnum::experts
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -17,6 +17,17 @@
   });
 }
 
+/// Returns the number of ranks whose state is known and satisfies a predicate.
+template<class Predicate>
+std::size_t
+countRanks(const States& aStates, Predicate aPredicate)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aStates.begin(), aStates.end(), [&](const auto& aState) {
+      return aState && aPredicate(*aState);
+    }));
+}
+
 /// Returns the version that some rank is armed with for a step, or 0.
 std::uint64_t
 findArmedVersion(const States& aStates, std::uint64_t aStep)
@@ -58,13 +69,26 @@
   mPhase = aPhase;
   mPhaseStart = aNow;
   mSentAt.clear();
+  mAnswers = 0;
+  mLastAnswerAt = aNow;
+}
+
+void
+HeldSwitch::recordAnswers(std::size_t aAnswers, Instant aNow)
+{
+  if (aAnswers > mAnswers) {
+    mLastAnswerAt = aNow;
+  }
+  mAnswers = aAnswers;
 }
 
 bool
 HeldSwitch::startAttempt(std::size_t aRank, Instant aNow, Duration aInterval)
 {
   const auto found = mSentAt.find(aRank);
-  if (found != mSentAt.end() && aNow - found->second < aInterval) {
+  if (found != mSentAt.end() &&
+      (aNow - found->second < aInterval ||
+       (mAnswers > 0 && aNow - mLastAnswerAt < mOptions.answerPause))) {
     return false;
   }
   mSentAt[aRank] = aNow;
@@ -286,16 +310,14 @@
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
-  const auto armed = static_cast<std::size_t>(
-    std::count_if(aStates.begin(), aStates.end(), [&](const auto& aState) {
-      return aState && isArmed(*aState);
-    }));
+  const std::size_t armed = countRanks(aStates, isArmed);
+  recordAnswers(armed, aNow);
   if (armed == mRankCount ||
       (!mOptions.rules.waitsForAllArmed && armed * 2 > mRankCount)) {
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
-  if (aNow - mPhaseStart > mOptions.armTimeout) {
+  if (aNow - mLastAnswerAt > mOptions.armTimeout) {
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
@@ -341,6 +363,7 @@
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
+  recordAnswers(countRanks(aStates, isUndone), aNow);
   // Once a rank can no longer be armed, no instance has seen or will see all
   // ranks armed. Before that, another instance may be about to release the
   // step.
