--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -100,12 +100,15 @@
 struct HeldSwitchOptions
 {
   HeldSwitchRules rules;
-  /// Time from the hold to the first step with the new map. It has to cover the
-  /// round trip of an order, or the group waits at the held step.
+  /// Minimum time from the hold to the first step with the new map. The lead is
+  /// longer where it took longer to arm all ranks in earlier changes, or the
+  /// group waits at the held step.
   Duration switchLead = milliseconds(120);
   /// Replaces `switchLead` for `lossWindow` after an unanswered order, so that
   /// an order can be repeated a few times before the group waits.
   Duration switchLeadAfterLoss = milliseconds(600);
+  double armTimeMargin = 1.25;       ///< Lead / time to arm all ranks.
+  double armTimeSmoothing = 0.3;     ///< Weight of a shorter time to arm.
   Duration lossWindow = seconds(12); ///< Maximum delay of a late order.
   std::uint64_t minLeadSteps = 2;    ///< Minimum of the lead, in steps.
   /// Interval at which orders are repeated. The steward of a rank answers
@@ -226,6 +229,10 @@
                 std::uint64_t aUnusedVersion,
                 const GroupMap& aInForce);
   void enter(SwitchPhase aPhase, Instant aNow);
+  /// Records that all ranks are armed.
+  void recordArmTime(Instant aNow);
+  /// Time from now to the step to hold.
+  Duration switchLead(Instant aNow) const;
   /// Records how many ranks have carried out the orders of the phase.
   void recordAnswers(std::size_t aAnswers, Instant aNow);
   /// Returns true, and records the time, if no order was sent to the rank
@@ -259,6 +266,7 @@
   Duration mCopyTime{ 0 };
   Instant mPhaseStart{};
   std::map<std::size_t, Instant> mSentAt; ///< Last order of the phase, by rank.
+  Duration mArmTime{ 0 };   ///< That it took to arm all ranks, smoothed.
   std::size_t mAnswers = 0; ///< Ranks that have carried out the phase's orders.
   Instant mLastAnswerAt{};  ///< When `mAnswers` rose, or the phase began.
 };
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/experts/held_switch.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnum::experts {
 namespace {
@@ -82,6 +83,31 @@
   mAnswers = aAnswers;
 }
 
+void
+HeldSwitch::recordArmTime(Instant aNow)
+{
+  if (mArmRetryAt && *mArmRetryAt >= mPhaseStart) {
+    return; // The time was that of lost orders, which have a lead of their own.
+  }
+  const Duration time = aNow - mPhaseStart;
+  mArmTime = std::max<Duration>(
+    time,
+    mArmTime + std::chrono::duration_cast<Duration>((time - mArmTime) *
+                                                    mOptions.armTimeSmoothing));
+}
+
+Duration
+HeldSwitch::switchLead(Instant aNow) const
+{
+  const bool hadRecentLoss =
+    mArmRetryAt && aNow - *mArmRetryAt < mOptions.lossWindow;
+  const Duration lead =
+    hadRecentLoss ? mOptions.switchLeadAfterLoss : mOptions.switchLead;
+  return std::max<Duration>(
+    lead,
+    std::chrono::duration_cast<Duration>(mArmTime * mOptions.armTimeMargin));
+}
+
 bool
 HeldSwitch::startAttempt(std::size_t aRank, Instant aNow, Duration aInterval)
 {
@@ -270,12 +296,8 @@
   if (!startAttempt(mOwnRank, aNow, mOptions.retryInterval)) {
     return {};
   }
-  const bool hadRecentLoss =
-    mArmRetryAt && aNow - *mArmRetryAt < mOptions.lossWindow;
-  const auto leadSteps = static_cast<std::uint64_t>(
-    toSeconds(hadRecentLoss ? mOptions.switchLeadAfterLoss
-                            : mOptions.switchLead) /
-    std::max(0.005, toSeconds(aStepTime)));
+  const auto leadSteps = static_cast<std::uint64_t>(std::ceil(
+    toSeconds(switchLead(aNow)) / std::max(0.005, toSeconds(aStepTime))));
   const std::uint64_t earliest =
     latestStep(aStates) + std::max(mOptions.minLeadSteps, leadSteps);
   const auto step = mOptions.rules.holdsEachStepOnce
@@ -312,6 +334,9 @@
   }
   const std::size_t armed = countRanks(aStates, isArmed);
   recordAnswers(armed, aNow);
+  if (armed == mRankCount) {
+    recordArmTime(aNow);
+  }
   if (armed == mRankCount ||
       (!mOptions.rules.waitsForAllArmed && armed * 2 > mRankCount)) {
     enter(SwitchPhase::Releasing, aNow);
