--- a/agent/src/runner.cpp
+++ b/agent/src/runner.cpp
@@ -17,6 +17,10 @@
 /// Time without a byte after which a backend server counts as stuck.
 constexpr Duration kServerSilence = seconds(60);
 
+/// Limit of the text of an answer, which is kept to be continued elsewhere;
+/// above the longest that callers may ask for.
+constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
+
 /// Headers that belong to one connection and are not passed on.
 constexpr std::string_view kHopHeaders[] = {
   "connection", "keep-alive", "transfer-encoding", "te",
@@ -303,6 +307,11 @@
         ++count;
       }
     }
+    if (reader.isEndless() || aAttempt->text.size() > kMaxAnswerBytes) {
+      exchange->abort();
+      co_return Failure{ .error = Error::IncompleteAnswer,
+                         .verdict = Verdict::MayHaveRun };
+    }
     mScheduler.recordTokens(
       aAttempt->id, static_cast<double>(count), mLoop.now());
     flush(*aAttempt);
--- a/contract/include/laburnum/contract/settings.hpp
+++ b/contract/include/laburnum/contract/settings.hpp
@@ -96,6 +96,7 @@
   Duration stopGrace = seconds(8); ///< From the signal to the forced end.
   /// Port on which the stewards beside the engines listen; 0: there are none.
   std::uint16_t stewardPort = 0;
+  double memoryMb = 256; ///< Of the instance; an eighth may hold responses.
 };
 
 /// Bounds of a steward that its deployment sets.
--- a/contract/src/reply_parser.cpp
+++ b/contract/src/reply_parser.cpp
@@ -1,5 +1,6 @@
 #include "laburnum/contract/reply_parser.hpp"
 
+#include <algorithm>
 #include <boost/json/parse.hpp>
 #include <string>
 
@@ -74,11 +75,35 @@
   bool mIsEscaped = false;
 };
 
+/// Each value but the first one of an array or object follows a separator.
+bool
+hasTooManyValues(std::string_view aText)
+{
+  return static_cast<std::size_t>(
+           std::count_if(aText.begin(), aText.end(), [](char aCharacter) {
+             return aCharacter == ',' || aCharacter == '[' || aCharacter == '{';
+           })) >= kMaxReplyValues;
+}
+
 } // namespace
 
+std::optional<json::value>
+parseBounded(std::string_view aText)
+{
+  if (hasTooManyValues(aText)) {
+    return std::nullopt;
+  }
+  json::error_code error;
+  json::value value = json::parse(aText, error);
+  return error ? std::nullopt : std::optional(std::move(value));
+}
+
 std::optional<json::value>
 parseReply(std::string_view aText)
 {
+  if (hasTooManyValues(aText)) {
+    return std::nullopt;
+  }
   json::error_code error;
   json::value reply = json::parse(aText, error);
   if (error) {
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -16,6 +16,7 @@
 /// Largest ratio, count or rate of a deployment.
 constexpr double kMaxNumber = 1e12;
 constexpr double kMinMbps = 0.001;
+constexpr double kMinMemoryMb = 1;
 
 std::string
 readHost(FieldReader& aReader)
@@ -165,6 +166,8 @@
     static_cast<int>(aReader.integer("entries", gateway.entries, 1, 10000));
   gateway.stopGrace = aReader.duration(
     "stop_grace_s", seconds(1), gateway.stopGrace, Duration(0), kMaxDuration);
+  gateway.memoryMb =
+    aReader.number("memory_mb", gateway.memoryMb, kMinMemoryMb, kMaxNumber);
   gateway.stewardPort =
     static_cast<std::uint16_t>(aReader.integer("steward_port", 0, 0, kMaxPort));
   aParent.finish(aReader);
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -7,6 +7,7 @@
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/permit_exchange.hpp"
 #include "laburnum/gateway/protocol.hpp"
+#include "laburnum/gateway/response_memory.hpp"
 #include "laburnum/gateway/retry_budget.hpp"
 #include "laburnum/gateway/server_list.hpp"
 #include "laburnum/gateway/server_probe.hpp"
@@ -28,6 +29,9 @@
 /// Thread safety: loop thread only.
 struct Context
 {
+  /// Part of the memory of the instance for responses that are not complete.
+  static constexpr double kResponseMemoryShare = 0.125;
+
   Context(Loop& aLoop,
           const contract::Settings& aSettings,
           HeaderNames aNames,
@@ -39,6 +43,8 @@
     , pool(aLoop)
     , probe(aLoop)
     , permits(aLoop, aSettings)
+    , responseMemory(static_cast<std::size_t>(aSettings.gateway.memoryMb *
+                                              kResponseMemoryShare * 1e6))
     , retryBudgetOptions(aRetryBudgetOptions)
     , random(entropySeed())
   {
@@ -59,6 +65,7 @@
   ConnectionPool pool;
   ServerProbe probe;
   PermitExchange permits;
+  ResponseMemory responseMemory;
   RetryBudgetOptions retryBudgetOptions;
   std::map<std::string, RetryBudget> retryBudgets;  ///< By service.
   std::map<std::string, GroupAdmission> admissions; ///< By service.
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -85,6 +85,8 @@
   void apply(const AbortResponse& aDecision);
   void execute(const RetryDecision& aDecision);
   void refuse(unsigned aStatus, Failure aFailure);
+  /// Ends the attempt because its response takes too much memory.
+  void giveUpResponse();
   void onDeadline();
   void startTimer(Duration aTime, bool aIsAttempt);
   void endAttempt(AttemptOutcome aOutcome);
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -177,6 +177,9 @@
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(bounds.headerBytes));
   mParser->body_limit(bounds.bodyBytes);
+  // Chunk sizes, their extensions and trailers have no other limit.
+  mBuffer.max_size(std::max(bounds.headerBytes + http::kMaxUnparsedBytes,
+                            mBuffer.size() + kReadSize));
   setTimer(bounds.headerTimeout, 408);
   bhttp::async_read_header(
     mSocket,
@@ -222,7 +225,8 @@
                       if (self->mClosed || !self->mIsReading) {
                         return;
                       }
-                      if (aError == bhttp::error::body_limit) {
+                      if (aError == bhttp::error::body_limit ||
+                          aError == bhttp::error::buffer_overflow) {
                         self->rejectUnread(413, Error::BodyTooLarge);
                       } else if (aError) {
                         self->close();
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -134,8 +134,10 @@
     mContext.selector.recordActivity(mServerId, mContext.loop.now());
     mResponse.body().append(aEvent.bytes);
     if (mResponse.body().size() > kMaxBufferedBytes) {
-      mResponse.body().clear();
-      finishAttempt(AttemptOutcome::InvalidResponse, "response too long");
+      giveUpResponse();
+    } else if (auto* longest = mContext.responseMemory.record(
+                 this, mResponse.body().capacity())) {
+      longest->giveUpResponse();
     }
     return;
   }
@@ -146,6 +148,14 @@
   }
 }
 
+void
+RequestForwarder::giveUpResponse()
+{
+  const auto self = shared_from_this();
+  mResponse.body() = {};
+  finishAttempt(AttemptOutcome::InvalidResponse, "response too long");
+}
+
 bool
 RequestForwarder::forwardEvents(std::string_view aBytes)
 {
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -18,6 +18,7 @@
 RequestForwarder::endAttempt(AttemptOutcome aOutcome)
 {
   mAttemptTimer.cancel();
+  mContext.responseMemory.remove(this);
   if (!mConnection) {
     return;
   }
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t kReadBytes = 8 * 1024;
 /// Limit of a response body; larger responses are treated as invalid.
 constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
-/// Interim responses before the final one; a faulty server may send them
-/// without end.
-constexpr int kMaxInterimResponses = 8;
 
 std::optional<Duration>
 parseKeepAlive(const ResponseHeader& aHead)
@@ -53,6 +50,7 @@
   , mAddress(std::move(aAddress))
   , mSocket(aLoop.context())
   , mTimer(aLoop.context())
+  , mBuffer(http::kMaxUnparsedBytes)
 {
 }
 
@@ -143,7 +141,7 @@
       }
       if (self->mParser->get().result_int() / 100 == 1) {
         // An interim response; the final one follows.
-        if (++self->mInterimResponses > kMaxInterimResponses) {
+        if (++self->mInterimResponses > http::kMaxInterimResponses) {
           self->fail(bhttp::make_error_code(bhttp::error::bad_status));
           return;
         }
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -43,6 +43,17 @@
       "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\nLaburnum-Signature: s\r\n"
       "Transfer-Encoding: chunked\r\n\r\n",
       chunk(std::string(4096, 'x')) },
+    { "status line", "/safe/", "HTTP/1.1 200 O", "OOOOOOOO" },
+    { "chunk size", "/safe/", kEventStreamHead, "00000000" },
+    { "chunk extension", "/safe/", kEventStreamHead + "1;a=", "xxxxxxxx" },
+    { "trailer field",
+      "/safe/",
+      kEventStreamHead + chunk("x") + "0\r\nX: ",
+      "xxxxxxxx" },
+    { "trailer fields",
+      "/safe/",
+      kEventStreamHead + chunk("x") + "0\r\n",
+      "X: xxxxx\r\n" },
     { "event without end",
       "/events/",
       kEventStreamHead,
@@ -72,6 +83,23 @@
   }
 }
 
+TEST_CASE("response_memory_manyEndlessResponses_givesUpTheLongest")
+{
+  // The addresses stand for requests; their responses are not looked at.
+  char requests[3];
+  const auto request = [&requests](std::size_t aIndex) {
+    return reinterpret_cast<RequestForwarder*>(&requests[aIndex]);
+  };
+  ResponseMemory memory(1000);
+  CHECK(memory.record(request(0), 100) == nullptr);
+  CHECK(memory.record(request(1), 500) == nullptr);
+  CHECK(memory.record(request(2), 400) == nullptr);
+  CHECK(memory.record(request(0), 101) == request(1));
+  memory.remove(request(1));
+  CHECK(memory.size() == 501);
+  CHECK(memory.record(request(0), 500) == nullptr);
+}
+
 TEST_CASE("gateway_onlyServerSendsWithoutEnd_reportsThatItMayHaveRun")
 {
   GatewayFixture fixture({ { "" } });
--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -60,7 +60,8 @@
                                                           bool aFresh = false);
 
   /// Sends a request and reads the whole response. The timeout covers both, so
-  /// that a peer that sends slowly and without end is given up. Pre: none.
+  /// that a peer that sends slowly and without end is given up. A response
+  /// above `kMaxReplyBytes` fails with `Error::BodyTooLarge`. Pre: none.
   asio::awaitable<Result<Response>> request(Request aRequest,
                                             Duration aTimeout);
 
--- a/http/include/laburnum/http/messages.hpp
+++ b/http/include/laburnum/http/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstddef>
 
 namespace laburnum::http {
 
@@ -11,4 +12,14 @@
 using Request = beast::http::request<beast::http::string_body>;
 using Response = beast::http::response<beast::http::string_body>;
 
+/// Limit of the bytes of a message that are kept until they can be parsed: its
+/// head, a chunk's size with the extensions, or its trailer. A faulty peer may
+/// send them without end.
+inline constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/// Limit of a response that is kept whole. Longer ones are treated as invalid.
+inline constexpr std::size_t kMaxReplyBytes = 4 * 1024 * 1024;
+/// Interim responses before the final one; a faulty server may send them
+/// without end.
+inline constexpr int kMaxInterimResponses = 8;
+
 } // namespace laburnum::http
--- a/http/include/laburnum/http/sse.hpp
+++ b/http/include/laburnum/http/sse.hpp
@@ -63,6 +63,9 @@
   /// Pre: none. Complexity: linear.
   std::vector<std::string> add(std::string_view aBytes);
 
+  /// As `EventCutter::isEndless`.
+  bool isEndless() const { return mCutter.isEndless(); }
+
 private:
   EventCutter mCutter;
 };
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -48,6 +48,7 @@
   : mPool(aPool)
   , mExchanges(aPool.mExchanges)
   , mStream(std::move(aStream))
+  , mBuffer(kMaxUnparsedBytes)
 {
   mExchanges->insert(this);
 }
@@ -72,13 +73,21 @@
     co_return failure(written == 0 ? Verdict::NotRun : Verdict::MayHaveRun,
                       error);
   }
-  mParser = std::make_unique<bhttp::response_parser<bhttp::buffer_body>>();
-  mParser->body_limit(kMaxBodyBytes);
-  if (aRequest.method() == bhttp::verb::head) {
-    mParser->skip(true);
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    mParser = std::make_unique<bhttp::response_parser<bhttp::buffer_body>>();
+    mParser->body_limit(kMaxBodyBytes);
+    if (aRequest.method() == bhttp::verb::head) {
+      mParser->skip(true);
+    }
+    co_await bhttp::async_read_header(
+      mStream, mBuffer, *mParser, redirect_error(use_awaitable, error));
+    if (error || mParser->get().result_int() / 100 != 1) {
+      break;
+    }
+  }
+  if (!error && mParser->get().result_int() / 100 == 1) {
+    error = bhttp::make_error_code(bhttp::error::bad_status);
   }
-  co_await bhttp::async_read_header(
-    mStream, mBuffer, *mParser, redirect_error(use_awaitable, error));
   if (error) {
     co_return failure(Verdict::MayHaveRun, error);
   }
@@ -180,6 +189,12 @@
     if (part->empty()) {
       break;
     }
+    if (response.body().size() + part->size() > kMaxReplyBytes) {
+      (*exchange)->abort();
+      co_return Failure{ .error = Error::BodyTooLarge,
+                         .verdict = Verdict::MayHaveRun,
+                         .detail = "the response is too long" };
+    }
     response.body() += *part;
   }
   co_return response;
--- a/http/src/server.cpp
+++ b/http/src/server.cpp
@@ -33,6 +33,7 @@
 Session::Session(Stream aStream, const contract::Limits& aLimits)
   : mStream(std::move(aStream))
   , mLimits(aLimits)
+  , mBuffer(aLimits.headerBytes + kMaxUnparsedBytes)
 {
 }
 
@@ -128,7 +129,8 @@
   mIsHead = parser.get().method() == bhttp::verb::head;
   if (error == bhttp::error::header_limit) {
     co_await refuse(431, Error::HeaderTooLarge);
-  } else if (error == bhttp::error::body_limit) {
+  } else if (error == bhttp::error::body_limit ||
+             error == bhttp::error::buffer_overflow) {
     co_await refuse(413, Error::BodyTooLarge);
   } else if (error == beast::error::timeout) {
     co_return std::nullopt;
--- a/wire/include/laburnum/wire/frame_reader.hpp
+++ b/wire/include/laburnum/wire/frame_reader.hpp
@@ -23,7 +23,11 @@
   /// DamagedFrame, after which the stream is of no use. Pre: none.
   Result<std::optional<AnyMessage>> next();
 
+  /// Limits the length of the frames that follow. Pre: none.
+  void limitFrames(std::size_t aBytes) { mMaxFrameBytes = aBytes; }
+
 private:
+  std::size_t mMaxFrameBytes = kMaxFrameBytes;
   std::vector<std::uint8_t> mBytes;
   std::size_t mBegin = 0;
   std::size_t mEnd = 0;
--- a/wire/include/laburnum/wire/message.hpp
+++ b/wire/include/laburnum/wire/message.hpp
@@ -15,6 +15,8 @@
 
 /// Longest frame that is accepted, in bytes.
 inline constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
+/// Limit of a frame before the greeting is complete, which anybody may send.
+inline constexpr std::size_t kMaxGreetingBytes = 16 * 1024;
 
 /// Bytes of the length before each frame.
 inline constexpr std::size_t kLengthBytes = 4;
--- a/wire/src/frame_reader.cpp
+++ b/wire/src/frame_reader.cpp
@@ -34,7 +34,7 @@
   for (std::size_t i = 0; i < kLengthBytes; ++i) {
     length |= static_cast<std::size_t>(mBytes[mBegin + i]) << (8 * i);
   }
-  if (length == 0 || length > kMaxFrameBytes) {
+  if (length == 0 || length > mMaxFrameBytes) {
     return Failure{ .error = Error::DamagedFrame,
                     .detail = "frame length " + std::to_string(length) };
   }
--- a/wire/src/link.cpp
+++ b/wire/src/link.cpp
@@ -35,6 +35,7 @@
 {
   mGreeting = aGreeting;
   mNonce = std::to_string(entropySeed());
+  mReader.limitFrames(kMaxGreetingBytes);
   greet("");
   read();
 }
@@ -183,6 +184,7 @@
   }
   if (complete) {
     mReady = true;
+    mReader.limitFrames(kMaxFrameBytes);
     mEvents.ready(shared_from_this());
   }
 }
--- a/wire/tests/unit_frames.cpp
+++ b/wire/tests/unit_frames.cpp
@@ -142,3 +142,14 @@
   CHECK((saw("left closed LB-NOT-AUTHENTICATED") ||
          saw("right closed LB-NOT-AUTHENTICATED")));
 }
+
+TEST_CASE("FrameReader, frame above the limit, fails before its bytes arrive")
+{
+  // Before the greeting anybody may announce a long frame and send it slowly.
+  FrameReader reader;
+  reader.limitFrames(kMaxGreetingBytes);
+  feed(reader, std::string("\x01\x40\x00\x00", 4));
+  const auto message = reader.next();
+  REQUIRE_FALSE(message);
+  CHECK(message.failure().error == Error::DamagedFrame);
+}
