--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -37,11 +38,15 @@
 
 // Orders to the engine of one rank.
 
+/// A map that the orders to all ranks share. The map of a large group takes
+/// longer to copy than its order to send.
+using SharedGroupMap = std::shared_ptr<const GroupMap>;
+
 /// Load the weights that a map version needs.
 struct PrepareOrder
 {
   std::uint64_t version = 0;
-  GroupMap map;
+  SharedGroupMap map; ///< Never null.
 };
 /// Use a prepared version from a step on.
 struct ArmOrder
@@ -95,23 +100,30 @@
 struct HeldSwitchOptions
 {
   HeldSwitchRules rules;
-  /// Time from the hold to the first step with the new map. It has to cover the
-  /// round trip of an order, or the group waits at the held step.
+  /// Minimum time from the hold to the first step with the new map. The lead is
+  /// longer where it took longer to arm all ranks in earlier changes, or the
+  /// group waits at the held step.
   Duration switchLead = milliseconds(120);
   /// Replaces `switchLead` for `lossWindow` after an unanswered order, so that
   /// an order can be repeated a few times before the group waits.
   Duration switchLeadAfterLoss = milliseconds(600);
+  double armTimeMargin = 1.25;       ///< Lead / time to arm all ranks.
+  double armTimeSmoothing = 0.3;     ///< Weight of a shorter time to arm.
   Duration lossWindow = seconds(12); ///< Maximum delay of a late order.
   std::uint64_t minLeadSteps = 2;    ///< Minimum of the lead, in steps.
   /// Interval at which orders are repeated. The steward of a rank answers
   /// within a few ms, its engine at once.
   Duration retryInterval = milliseconds(60);
+  /// Orders to arm or to undo are not repeated before this time has passed
+  /// without a further answer.
+  Duration answerPause = milliseconds(40);
   /// Interval at which prepare orders are repeated, in addition to the expected
   /// copy time. With half of the orders lost, 16 ranks take five rounds.
   Duration prepareRetryInterval = milliseconds(80);
   Duration prepareTimeout = seconds(4); ///< Then the change is abandoned.
   Duration holdTimeout = milliseconds(900);
-  Duration armTimeout = milliseconds(1500); ///< Then the change is undone.
+  /// Time without a further armed rank, after which the change is undone.
+  Duration armTimeout = milliseconds(1500);
   /// Time after which a hold that belongs to no running change is taken over.
   /// It must be several times the interval at which states are read.
   Duration takeoverDelay = milliseconds(500);
@@ -200,7 +212,7 @@
 
   /// The map of the running change.
   /// @pre not `isIdle()`
-  const GroupMap& targetMap() const { return mMap; }
+  const GroupMap& targetMap() const { return *mMap; }
 
   bool isIdle() const { return mPhase == SwitchPhase::Idle; }
   SwitchPhase phase() const { return mPhase; }
@@ -217,8 +229,15 @@
                 std::uint64_t aUnusedVersion,
                 const GroupMap& aInForce);
   void enter(SwitchPhase aPhase, Instant aNow);
+  /// Records that all ranks are armed.
+  void recordArmTime(Instant aNow);
+  /// Time from now to the step to hold.
+  Duration switchLead(Instant aNow) const;
+  /// Records how many ranks have carried out the orders of the phase.
+  void recordAnswers(std::size_t aAnswers, Instant aNow);
   /// Returns true, and records the time, if no order was sent to the rank
-  /// within the interval.
+  /// within the interval and no answers are arriving, which a repetition would
+  /// only delay.
   bool startAttempt(std::size_t aRank, Instant aNow, Duration aInterval);
   Orders prepare(Instant aNow, const States& aStates);
   Orders hold(Instant aNow, const States& aStates, Duration aStepTime);
@@ -243,10 +262,13 @@
   std::uint64_t mStep = 0; ///< Held for the present change; 0 for none.
   std::optional<Instant> mHoldSeenAt; ///< First sight of a hold while idle.
   std::optional<Instant> mArmRetryAt; ///< Last repetition of an arm order.
-  GroupMap mMap;
+  SharedGroupMap mMap;                ///< Null before the first change.
   Duration mCopyTime{ 0 };
   Instant mPhaseStart{};
   std::map<std::size_t, Instant> mSentAt; ///< Last order of the phase, by rank.
+  Duration mArmTime{ 0 };   ///< That it took to arm all ranks, smoothed.
+  std::size_t mAnswers = 0; ///< Ranks that have carried out the phase's orders.
+  Instant mLastAnswerAt{};  ///< When `mAnswers` rose, or the phase began.
 };
 
 } // namespace laburnum::experts
--- a/experts/src/held_switch.cpp
+++ b/experts/src/held_switch.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/experts/held_switch.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace laburnum::experts {
 namespace {
@@ -17,6 +18,17 @@
   });
 }
 
+/// Returns the number of ranks whose state is known and satisfies a predicate.
+template<class Predicate>
+std::size_t
+countRanks(const States& aStates, Predicate aPredicate)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aStates.begin(), aStates.end(), [&](const auto& aState) {
+      return aState && aPredicate(*aState);
+    }));
+}
+
 /// Returns the version that some rank is armed with for a step, or 0.
 std::uint64_t
 findArmedVersion(const States& aStates, std::uint64_t aStep)
@@ -58,13 +70,51 @@
   mPhase = aPhase;
   mPhaseStart = aNow;
   mSentAt.clear();
+  mAnswers = 0;
+  mLastAnswerAt = aNow;
+}
+
+void
+HeldSwitch::recordAnswers(std::size_t aAnswers, Instant aNow)
+{
+  if (aAnswers > mAnswers) {
+    mLastAnswerAt = aNow;
+  }
+  mAnswers = aAnswers;
+}
+
+void
+HeldSwitch::recordArmTime(Instant aNow)
+{
+  if (mArmRetryAt && *mArmRetryAt >= mPhaseStart) {
+    return; // The time was that of lost orders, which have a lead of their own.
+  }
+  const Duration time = aNow - mPhaseStart;
+  mArmTime = std::max<Duration>(
+    time,
+    mArmTime + std::chrono::duration_cast<Duration>((time - mArmTime) *
+                                                    mOptions.armTimeSmoothing));
+}
+
+Duration
+HeldSwitch::switchLead(Instant aNow) const
+{
+  const bool hadRecentLoss =
+    mArmRetryAt && aNow - *mArmRetryAt < mOptions.lossWindow;
+  const Duration lead =
+    hadRecentLoss ? mOptions.switchLeadAfterLoss : mOptions.switchLead;
+  return std::max<Duration>(
+    lead,
+    std::chrono::duration_cast<Duration>(mArmTime * mOptions.armTimeMargin));
 }
 
 bool
 HeldSwitch::startAttempt(std::size_t aRank, Instant aNow, Duration aInterval)
 {
   const auto found = mSentAt.find(aRank);
-  if (found != mSentAt.end() && aNow - found->second < aInterval) {
+  if (found != mSentAt.end() &&
+      (aNow - found->second < aInterval ||
+       (mAnswers > 0 && aNow - mLastAnswerAt < mOptions.answerPause))) {
     return false;
   }
   mSentAt[aRank] = aNow;
@@ -78,7 +128,7 @@
                   Duration aCopyTime)
 {
   mVersion = aVersion;
-  mMap = std::move(aMap);
+  mMap = std::make_shared<const GroupMap>(std::move(aMap));
   mCopyTime = aCopyTime;
   mEpoch = 0;
   enter(SwitchPhase::Preparing, aNow);
@@ -246,12 +296,8 @@
   if (!startAttempt(mOwnRank, aNow, mOptions.retryInterval)) {
     return {};
   }
-  const bool hadRecentLoss =
-    mArmRetryAt && aNow - *mArmRetryAt < mOptions.lossWindow;
-  const auto leadSteps = static_cast<std::uint64_t>(
-    toSeconds(hadRecentLoss ? mOptions.switchLeadAfterLoss
-                            : mOptions.switchLead) /
-    std::max(0.005, toSeconds(aStepTime)));
+  const auto leadSteps = static_cast<std::uint64_t>(std::ceil(
+    toSeconds(switchLead(aNow)) / std::max(0.005, toSeconds(aStepTime))));
   const std::uint64_t earliest =
     latestStep(aStates) + std::max(mOptions.minLeadSteps, leadSteps);
   const auto step = mOptions.rules.holdsEachStepOnce
@@ -286,16 +332,17 @@
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
-  const auto armed = static_cast<std::size_t>(
-    std::count_if(aStates.begin(), aStates.end(), [&](const auto& aState) {
-      return aState && isArmed(*aState);
-    }));
+  const std::size_t armed = countRanks(aStates, isArmed);
+  recordAnswers(armed, aNow);
+  if (armed == mRankCount) {
+    recordArmTime(aNow);
+  }
   if (armed == mRankCount ||
       (!mOptions.rules.waitsForAllArmed && armed * 2 > mRankCount)) {
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
-  if (aNow - mPhaseStart > mOptions.armTimeout) {
+  if (aNow - mLastAnswerAt > mOptions.armTimeout) {
     enter(SwitchPhase::Undoing, aNow);
     return {};
   }
@@ -341,6 +388,7 @@
     enter(SwitchPhase::Releasing, aNow);
     return release(aNow, aStates);
   }
+  recordAnswers(countRanks(aStates, isUndone), aNow);
   // Once a rank can no longer be armed, no instance has seen or will see all
   // ranks armed. Before that, another instance may be about to release the
   // step.
@@ -351,6 +399,7 @@
       return aState && isUndone(*aState);
     });
   Orders orders;
+  SharedGroupMap inForce;
   for (std::size_t rank = 0; rank < mRankCount; ++rank) {
     const auto& state = aStates[rank];
     const bool isArmedRank = state && state->armed;
@@ -361,7 +410,8 @@
     if (isArmedRank) {
       orders.push_back({ rank, DisarmOrder{ state->armed->version } });
     } else {
-      orders.push_back({ rank, PrepareOrder{ mUndoVersion, aInForce } });
+      inForce = inForce ? inForce : std::make_shared<const GroupMap>(aInForce);
+      orders.push_back({ rank, PrepareOrder{ mUndoVersion, inForce } });
     }
   }
   return orders;
