--- a/experts/include/laburnum/experts/held_switch.hpp
+++ b/experts/include/laburnum/experts/held_switch.hpp
@@ -212,6 +212,7 @@
 
   /// The map of the running change.
   /// @pre not `isIdle()`
+  /// @pre `begin` was called.
   const GroupMap& targetMap() const { return *mMap; }
 
   bool isIdle() const { return mPhase == SwitchPhase::Idle; }
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -88,6 +88,7 @@
   void migrateIfSlow(const ServerRecord& aServer);
   /// Checks for silent servers and stewards, a few times a second.
   asio::awaitable<void> maintain();
+  /// Writes the line `gateway_load` for the time since the previous one.
   void logLoad();
   void applyGroupStatus(const std::string& aService,
                         const GroupStatus& aStatus);
--- a/steward/include/laburnum/steward/steward.hpp
+++ b/steward/include/laburnum/steward/steward.hpp
@@ -92,6 +92,7 @@
 
   asio::awaitable<void> pollEngine();
   asio::awaitable<void> controlMap();
+  /// Writes the line `keeper_load` for the time since the previous one.
   void logKeeperLoad();
   asio::awaitable<bool> readEngine(bool aWithCounts);
   asio::awaitable<void> executeOrder(std::uint64_t aEpoch,
