--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -5,7 +5,6 @@
 garden helpers. Everything that is sent, answered and run goes to record.txt of the case.
 """
 import asyncio
-import collections
 import itertools
 import json
 import os
@@ -406,7 +405,11 @@
     was broken. Ends with 1 if it was, 0 if it held, 2 if the case could not run."""
     folder = pathlib.Path(script).resolve().parent
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    outcome = 2
+
+    def interrupted(number, frame):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupted)  # The processes that were started end all the same.
 
     async def play():
         deployment = Deployment(folder)
