Streams: events that came before an invalid one in the same read are delivered

Cause: forwardEvents advanced the ID of the last event with each event, and returned at the first invalid one without writing those it had collected. The stream was resumed after events that the client had not got.

Ruled out: another ID in the resumed request than in the sequence (last_event, now in attempt_ended, is the same); the resuming server leaving events out.

Change: accepted events are written before the attempt ends as spoiled, so the last ID is always that of an event that was written. As the write may find that the client is gone, the attempt is not ended a second time then.

--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -106,7 +106,10 @@
   void handle(const ResponseBytes& aEvent);
   void handle(const ResponseEnd& aEvent);
   void handle(const ConnectionLost& aEvent);
+  /// Delivers the events completed by these bytes, up to the first one whose ID
+  /// does not follow. Returns false if there is one.
   bool forwardEvents(std::string_view aBytes);
+  void deliverEvents(std::string aEvents, bool aHasProgress);
   AttemptOutcome classifyResponse() const;
   void finishAttempt(AttemptOutcome aOutcome, std::string_view aReason);
   /// Decides what follows the loss of a connection on which the response had
@@ -134,6 +137,12 @@
     return std::to_string(mUrgency.account) + "/" +
            std::to_string(mUrgency.route);
   }
+  /// The ID after which the stream would be resumed, for logs.
+  std::string lastEventText() const
+  {
+    const auto id = mEventSequence.lastId();
+    return id ? std::to_string(*id) : "";
+  }
   bool isStream() const { return mRoute->type == RouteType::Stream; }
 
   Context& mContext;
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -141,7 +141,11 @@
     }
     return;
   }
-  if (!forwardEvents(aEvent.bytes)) {
+  const bool isConsecutive = forwardEvents(aEvent.bytes);
+  if (mFinished) {
+    return; // The client does not take in its response.
+  }
+  if (!isConsecutive) {
     finishAttempt(AttemptOutcome::InvalidResponse, "event ID not consecutive");
   } else if (mSplitter.isEndless()) {
     finishAttempt(AttemptOutcome::InvalidResponse, "event too long");
@@ -159,22 +163,32 @@
 bool
 RequestForwarder::forwardEvents(std::string_view aBytes)
 {
-  const Instant now = mContext.loop.now();
-  std::string completeEvents;
+  std::string accepted;
   bool hasProgress = false;
+  bool isConsecutive = true;
   for (StreamEvent& event : mSplitter.add(aBytes)) {
-    if (!mEventSequence.accept(event)) {
-      return false;
+    isConsecutive = mEventSequence.accept(event);
+    if (!isConsecutive) {
+      break;
     }
     hasProgress = hasProgress || event.hasData();
-    completeEvents += event.bytes;
+    accepted += event.bytes;
   }
-  if (completeEvents.empty()) {
-    return true;
+  // Accepted events are delivered even if an invalid one follows them: the
+  // stream is resumed after the last one accepted.
+  if (!accepted.empty()) {
+    deliverEvents(std::move(accepted), hasProgress);
   }
+  return isConsecutive;
+}
+
+void
+RequestForwarder::deliverEvents(std::string aEvents, bool aHasProgress)
+{
+  const Instant now = mContext.loop.now();
   mAttemptHasEvents = true;
   // A stalled server may go on sending comments, or a byte now and then.
-  if (hasProgress) {
+  if (aHasProgress) {
     mContext.selector.recordActivity(mServerId, now);
     mContext.admissions[currentGroup()].recordProgress(now);
     promptRead();
@@ -202,8 +216,7 @@
     }
   }
   mLastEventAt = now;
-  mClient->writeEvents(std::move(completeEvents));
-  return true;
+  mClient->writeEvents(std::move(aEvents));
 }
 
 AttemptOutcome
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -87,6 +87,7 @@
           { "reason", aReason },
           { "sendings", mRetryController->attemptCount() },
           { "events", mEventSequence.deliveredCount() },
+          { "last_event", lastEventText() },
           { "fingerprint", fingerprintText(mContent.fingerprint) },
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
--- /dev/null
+++ b/gateway/tests/unit_streams.cpp
@@ -0,0 +1,121 @@
+#include "gateway_fixture.hpp"
+
+#include "laburnum/http/sse.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace laburnum;
+using namespace laburnum::gateway;
+
+namespace {
+
+std::string
+event(int aId)
+{
+  const std::string id = std::to_string(aId);
+  return "id: " + id + "\ndata: piece " + id + "\n\n";
+}
+
+/// The head of a stream and bytes of its body, framed in one of three ways.
+std::string
+framedStream(std::string_view aFraming, std::string_view aBytes)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\n" +
+                           kSignatureField +
+                           "Content-Type: text/event-stream\r\n";
+  if (aFraming == "chunked") {
+    return kEventStreamHead + chunk(aBytes) + "0\r\n\r\n";
+  }
+  if (aFraming == "length") {
+    return head + "Content-Length: " + std::to_string(aBytes.size()) +
+           "\r\n\r\n" + std::string(aBytes);
+  }
+  return head + "\r\n" + std::string(aBytes);
+}
+
+/// The events in a response, without the chunks that carried them.
+std::string
+eventsOf(const std::string& aReceived)
+{
+  std::string events;
+  std::size_t at = aReceived.find("\r\n\r\n");
+  at = at == std::string::npos ? aReceived.size() : at + 4;
+  while (at < aReceived.size()) {
+    const std::size_t size = std::strtoul(&aReceived[at], nullptr, 16);
+    const std::size_t begin = aReceived.find("\r\n", at);
+    if (size == 0 || begin == std::string::npos) {
+      break;
+    }
+    events += aReceived.substr(begin + 2, size);
+    at = begin + 2 + size + 2;
+  }
+  return events;
+}
+
+bool
+isComplete(const std::string& aReceived)
+{
+  return aReceived.ends_with("0\r\n\r\n");
+}
+
+} // namespace
+
+// Guards against ORDER: valid events that came in one read with an invalid one
+// counted as delivered, and the stream was resumed after them.
+TEST_CASE("gateway_invalidEventAfterValidOnes_validOnesAreDelivered")
+{
+  struct Row
+  {
+    const char* name;
+    std::string bytes; ///< After events 0 and 1.
+  };
+  const std::vector<Row> rows = {
+    { "spoiled ID", "id: 92\ndata: piece 2\n\n" },
+    { "repeated event", event(1) },
+    { "skipped event", event(3) },
+    { "valid event after the spoiled one",
+      "id: 92\ndata: piece 2\n\n" + event(2) },
+    { "cut off", "id: 2\ndata: pie" },
+    { "event too long",
+      "data: " + std::string(http::EventCutter::kMaxEventBytes, 'x') },
+  };
+  const std::string framing = GENERATE("chunked", "length", "neither");
+  for (const Row& row : rows) {
+    CAPTURE(row.name, framing);
+    const std::string spoiled =
+      framedStream(framing, event(0) + event(1) + row.bytes);
+    const std::string rest = framedStream("chunked", event(2) + event(3));
+    GatewayFixture two({ { spoiled }, { rest } });
+    const std::string received = two.request("POST", "/events/x", "", "prompt");
+    CHECK(eventsOf(received) == event(0) + event(1) + event(2) + event(3));
+    CHECK(isComplete(received));
+    REQUIRE(two.servers[1]->requests.size() == 1);
+    CHECK(two.servers[1]->requests[0]["Last-Event-Id"] == "1");
+
+    GatewayFixture one({ { spoiled } }, 1);
+    const std::string brokenOff =
+      one.request("POST", "/events/x", "", "prompt");
+    CHECK(eventsOf(brokenOff) == event(0) + event(1));
+    CHECK_FALSE(isComplete(brokenOff));
+  }
+}
+
+// The other side: a sound stream is passed on whole, in however many reads it
+// comes and whatever lies between its events.
+TEST_CASE("gateway_soundEventsInOneRead_areDeliveredByOneServer")
+{
+  const std::string framing = GENERATE("chunked", "length", "neither");
+  std::string events = ": comment\n\n";
+  for (int id = 0; id < 2000; ++id) {
+    events += event(id);
+  }
+  events += "data: [DONE]\n\n";
+  CAPTURE(framing);
+  GatewayFixture fixture(
+    { { framedStream(framing, events) }, { framedStream(framing, events) } });
+  const std::string received =
+    fixture.request("POST", "/events/x", "", "prompt");
+  CHECK(eventsOf(received) == events);
+  CHECK(isComplete(received));
+  CHECK(fixture.requestCount() == 1);
+}
