Server list: entries written earlier do not replace newer ones

Cause: a heartbeat that the store executes late is a change like any other, and ServerList took each entry as it came. `sequence` was not read.

Ruled out: a report of draining that was missed (no booking between 0.75 s after it and the late heartbeat); news from another gateway (there is none on servers).

Change: a process that reported that it drains stays excluded, also after its entry was removed; an entry of the same process with a lower sequence changes no field; an entry of a process with an earlier start counts only if it lasts for 5 s while the store answers. A new process under the same ID is taken at once. New line server_entry_outdated.

--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -23,6 +23,8 @@
   bool isLeaving = false; ///< Draining: accepts no new requests.
   /// Unix time at which the process started; distinguishes restarts.
   std::int64_t startedMs = 0;
+  /// Counts the writes of the process to its entry; 0 if unknown.
+  std::int64_t sequence = 0;
   double slowdown = 1; ///< Factor by which its work exceeds the usual time.
   /// Time for which it stays cold, from when its entry was read; nothing if the
   /// entry does not say.
@@ -66,12 +68,21 @@
   /// Time for which a server that refused a connection is treated as cold: its
   /// next process is back after some seconds, and its entry is read then.
   Duration restartTime = seconds(10);
+  /// Time after which an entry that was written by a process with an earlier
+  /// start than the known one is taken: entries are removed after three missing
+  /// heartbeats, so one that remains is that of a live process.
+  Duration lastingTime = seconds(5);
 };
 
 /// The servers that may receive requests. Entries that expire while the source
 /// of the list is unavailable remain in use until the source has been available
 /// again for a grace period, because live servers cannot renew them meanwhile.
 ///
+/// A write to an entry may be executed late, after newer ones. A process that
+/// has reported that it is leaving therefore stays excluded, entries with a
+/// lower sequence change nothing, and those of a process with an earlier start
+/// count only if they last.
+///
 /// All times passed in must be non-decreasing. Methods that remove servers
 /// return the IDs of those that may receive no further requests. Performs no
 /// I/O. Thread safety: loop thread only.
@@ -107,6 +118,10 @@
   /// Removes missing servers whose grace period has ended.
   std::vector<std::string> removeExpired(Instant aNow);
 
+  /// Takes entries of processes with an earlier start that have lasted, see
+  /// `ServerListOptions::lastingTime`.
+  void acceptLasting(Instant aNow);
+
   /// Returns the servers of a service that may receive requests, in time linear
   /// in the size of the list.
   std::vector<const ServerRecord*> availableServers(
@@ -197,11 +212,18 @@
   {
     std::int64_t startedMs = 0; ///< Of the process.
     bool isLeaving = false;
-    bool isGone = false; ///< Its entry was removed.
+    bool isGone = false;       ///< Its entry was removed.
+    std::int64_t sequence = 0; ///< Highest one of its entries.
     Instant pausedUntil{};
     std::optional<double> rateLimit;
     Instant restartingUntil{}; ///< Until when it is treated as cold.
   };
+  /// An entry of a process with an earlier start than the known one.
+  struct EarlierProcess
+  {
+    ServerRecord record;
+    Instant since{};
+  };
   /// Returns the notice of a server process for an update, or null if a later
   /// process of the server is known.
   Notice* noticeOf(const std::string& aServerId, std::int64_t aStartedMs);
@@ -216,11 +238,14 @@
   bool inGracePeriod(Instant aNow) const;
   bool removeOrMarkMissing(const std::string& aServerId, Instant aNow);
   bool upsert(const ServerRecord& aRecord, Instant aNow);
+  /// Stores an entry whose process is the latest one known.
+  bool store(const ServerRecord& aRecord, Notice& aNotice, Instant aNow);
 
   ServerListOptions mOptions;
   std::map<std::string, Entry> mRecords;
-  std::map<std::string, Notice> mNotices;       ///< By server.
-  std::map<std::string, ColdLimit> mColdLimits; ///< By service.
+  std::map<std::string, Notice> mNotices;                  ///< By server.
+  std::map<std::string, EarlierProcess> mEarlierProcesses; ///< By server.
+  std::map<std::string, ColdLimit> mColdLimits;            ///< By service.
   std::optional<std::set<std::string>> mEvacuatedDomains{ std::in_place };
   bool mIsSourceLost = false;
   std::optional<Instant> mSourceRestoredAt;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -380,6 +380,7 @@
       }
     }
     mFollower.maintain();
+    mContext.servers.acceptLasting(mLoop.now());
     if (mRestartWatches && mFreshness.takeRestart(mLoop.now())) {
       ++mContext.metrics.counter("laburnum_gateway_watches_restarted_total");
       mRestartWatches();
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/gateway/server_list.hpp"
 
+#include "laburnum/kernel/log.hpp"
+
 #include <algorithm>
 
 namespace laburnum::gateway {
@@ -8,6 +10,21 @@
 /// Notices from which those of servers that are no longer listed are dropped.
 constexpr std::size_t kMaxNotices = 2048;
 
+void
+logOutdated(const ServerRecord& aRecord,
+            std::int64_t aKnownStartedMs,
+            std::int64_t aKnownSequence)
+{
+  log(LogLevel::Info,
+      "server_entry_outdated",
+      { { "server", aRecord.id },
+        { "started_ms", aRecord.startedMs },
+        { "known_started_ms", aKnownStartedMs },
+        { "sequence", aRecord.sequence },
+        { "known_sequence", aKnownSequence },
+        { "leaving", aRecord.isLeaving } });
+}
+
 } // namespace
 
 bool
@@ -20,31 +37,80 @@
 
 bool
 ServerList::upsert(const ServerRecord& aRecord, Instant aNow)
+{
+  Notice* notice = noticeOf(aRecord.id, aRecord.startedMs);
+  if (notice != nullptr) {
+    mEarlierProcesses.erase(aRecord.id);
+    return store(aRecord, *notice, aNow);
+  }
+  const auto [earlier, isNew] =
+    mEarlierProcesses.try_emplace(aRecord.id, EarlierProcess{ .since = aNow });
+  if (!isNew && earlier->second.record.startedMs != aRecord.startedMs) {
+    earlier->second.since = aNow;
+  }
+  earlier->second.record = aRecord;
+  if (isNew) {
+    logOutdated(aRecord, mNotices[aRecord.id].startedMs, 0);
+  }
+  return false;
+}
+
+bool
+ServerList::store(const ServerRecord& aRecord, Notice& aNotice, Instant aNow)
 {
   Entry& entry = mRecords[aRecord.id];
-  const bool wasAvailable = !entry.record.id.empty() && !entry.record.isLeaving;
   const bool isSameProcess =
     !entry.record.id.empty() && entry.record.startedMs == aRecord.startedMs;
+  const bool wasAvailable = !entry.record.id.empty() && !entry.record.isLeaving;
+  const bool isOlder =
+    aRecord.sequence > 0 && aRecord.sequence < aNotice.sequence;
+  if (isOlder) {
+    logOutdated(aRecord, aNotice.startedMs, aNotice.sequence);
+  }
+  // The rest of the entry is of the process, the slowdown of another writer.
+  ServerRecord record = isSameProcess && isOlder ? entry.record : aRecord;
+  record.slowdown = aRecord.slowdown;
+  record.isLeaving =
+    aRecord.isLeaving || (isSameProcess && entry.record.isLeaving);
+  aNotice.sequence = std::max(aNotice.sequence, aRecord.sequence);
+  aNotice.isLeaving = aNotice.isLeaving || record.isLeaving;
+  aNotice.isGone = false;
   // An entry that is read once more says nothing new.
-  if (!isSameProcess || entry.record.coldTime != aRecord.coldTime) {
-    const auto limit = mColdLimits.find(aRecord.service);
+  if (!isSameProcess || entry.record.coldTime != record.coldTime) {
+    const auto limit = mColdLimits.find(record.service);
     const Duration unstated = isSameProcess || limit == mColdLimits.end()
                                 ? Duration(0)
                                 : limit->second.time;
-    entry.coldUntil = aNow + aRecord.coldTime.value_or(unstated);
+    entry.coldUntil = aNow + record.coldTime.value_or(unstated);
   }
-  entry.record = aRecord;
+  entry.record = std::move(record);
   entry.missingSince.reset();
-  const auto notice = mNotices.find(aRecord.id);
-  if (notice != mNotices.end()) {
-    notice->second.isGone = false;
+  return wasAvailable && entry.record.isLeaving;
+}
+
+void
+ServerList::acceptLasting(Instant aNow)
+{
+  if (mEarlierProcesses.empty() || inGracePeriod(aNow)) {
+    return;
+  }
+  const Instant restored = mSourceRestoredAt.value_or(Instant{});
+  std::vector<ServerRecord> lasting;
+  for (const auto& [id, earlier] : mEarlierProcesses) {
+    if (aNow - std::max(earlier.since, restored) >= mOptions.lastingTime) {
+      lasting.push_back(earlier.record);
+    }
+  }
+  for (const ServerRecord& record : lasting) {
+    mNotices.erase(record.id);
+    upsert(record, aNow);
   }
-  return wasAvailable && aRecord.isLeaving;
 }
 
 bool
 ServerList::removeOrMarkMissing(const std::string& aServerId, Instant aNow)
 {
+  mEarlierProcesses.erase(aServerId);
   const auto found = mRecords.find(aServerId);
   if (found == mRecords.end()) {
     return false;
@@ -81,6 +147,9 @@
       retired.push_back(record.id);
     }
   }
+  std::erase_if(mEarlierProcesses, [&present](const auto& aEntry) {
+    return !present.contains(aEntry.first);
+  });
   std::vector<std::string> missing;
   for (const auto& [id, entry] : mRecords) {
     if (!present.contains(id)) {
