Suspicions: a crash after the first event of a stream counts

Cause: a lost connection was recorded only while no event had been forwarded; and the first event counted as proof that the request was served.

Ruled out: a suspicion that is recorded and cleared again (no server_crashed line). A fault of its own on that path, found by reading: a response of the next process cleared the losses of the former one.

Change: losses count at any moment of a response; a request is served when its answer is complete; responses clear losses of their own process. Losses at servers that drain, are no longer listed, or still accept connections are no crashes. A request whose response had begun at each crash is refused after three crashes, as a failing rack may cut a sound stream twice.

--- a/gateway/include/laburnum/gateway/crash_suspicions.hpp
+++ b/gateway/include/laburnum/gateway/crash_suspicions.hpp
@@ -28,25 +28,38 @@
     mShare = std::move(aShare);
   }
 
-  /// Records that the connection was lost before the response to a request
-  /// began. `aProcess` identifies the process of the server.
+  /// Records that the connection was lost before the response to a request was
+  /// complete. `aProcess` identifies the process of the server.
   void requestLost(const std::string& aServerId,
                    policy::CrashId aProcess,
-                   const policy::RequestContent& aRequest,
+                   policy::RequestInProgress aRequest,
                    Instant aNow);
 
-  /// Records a response to a request that was sent at `aSentAt`: the server had
-  /// not crashed by then.
-  void serverResponded(const std::string& aServerId, Instant aSentAt);
+  /// Records a response to a request that was sent at `aSentAt`: the process
+  /// had not crashed by then.
+  void serverResponded(const std::string& aServerId,
+                       policy::CrashId aProcess,
+                       Instant aSentAt);
 
-  /// Called when a server is unreachable or was removed. Requests that were in
-  /// progress when it was lost become suspects.
-  void serverGone(const std::string& aServerId, Instant aNow);
+  /// Records that a process accepts connections.
+  void serverReachable(const std::string& aServerId, policy::CrashId aProcess);
+
+  /// Called when a server reports that it is leaving: no request has crashed
+  /// it.
+  void serverLeaving(const std::string& aServerId);
+
+  /// Called when a server is unreachable or was removed (`Unreachable`), or
+  /// refuses connections (`Ended`). Requests that were in progress when it was
+  /// lost become suspects.
+  void serverGone(const std::string& aServerId,
+                  CrashDetector::Evidence aEvidence,
+                  Instant aNow);
 
   /// Called when a request ended without a crash.
   void requestEnded(const policy::RequestContent& aRequest, Instant aNow);
 
-  /// Called when a response to a request has begun.
+  /// Called when a request was answered completely. The begin of a stream is no
+  /// evidence: a request may crash its server later.
   void requestServed(const policy::RequestContent& aRequest, Instant aNow);
 
   /// Merges records from other gateways, and sends them what this gateway has
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -112,8 +112,8 @@
   void deliverEvents(std::string aEvents, bool aHasProgress);
   AttemptOutcome classifyResponse() const;
   void finishAttempt(AttemptOutcome aOutcome, std::string_view aReason);
-  /// Decides what follows the loss of a connection on which the response had
-  /// not begun, as soon as it is known whether the server has crashed.
+  /// Decides what follows the loss of a connection that the server has closed,
+  /// as soon as it is known whether the server has crashed.
   void finishLostAttempt(std::string_view aReason);
   void recordAttemptEnd(AttemptOutcome aOutcome, std::string_view aReason);
   void decideNext(AttemptOutcome aOutcome);
--- a/gateway/include/laburnum/gateway/served_content.hpp
+++ b/gateway/include/laburnum/gateway/served_content.hpp
@@ -17,7 +17,7 @@
 class ServedContent
 {
 public:
-  /// Records that a response to a request with this content has begun.
+  /// Records that a request with this content was answered completely.
   void record(std::uint64_t aContent, Instant aNow);
 
   /// Returns when the content was served last, or nothing. Content is
--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -32,6 +32,7 @@
 {
   bool isRequestSent = false;   ///< Part of the request may have been sent.
   bool isConnectFailed = false; ///< The connection was never established.
+  bool isRefused = false;       ///< No process listens at the address.
   /// The server closed or reset the connection, as when its process ends.
   bool isClosedByServer = false;
   std::string reason; ///< Message of the system error.
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -137,6 +137,10 @@
   /// True if a server process is one of the `readyServers` of its service.
   bool isReady(const ServerRecord& aServer, Instant aNow) const;
 
+  /// True if a server process is listed and not known to be leaving. It may be
+  /// paused.
+  bool isServing(const std::string& aServerId, std::int64_t aStartedMs) const;
+
   /// Excludes a server process that said that it is leaving, or whose address
   /// now belongs to another server. It stays excluded if its entry lapses and
   /// returns.
--- a/gateway/src/crash_detector.cpp
+++ b/gateway/src/crash_detector.cpp
@@ -15,8 +15,8 @@
 
 void
 CrashDetector::recordLoss(const std::string& aServerId,
-                          policy::CrashId aCrash,
-                          policy::RequestContent aRequest,
+                          policy::CrashId aProcess,
+                          policy::RequestInProgress aRequest,
                           Instant aNow)
 {
   auto& losses = mLosses[aServerId];
@@ -25,40 +25,71 @@
   });
   if (losses.size() < kMaxLossesPerServer) {
     losses.push_back(
-      { .crash = aCrash, .request = std::move(aRequest), .at = aNow });
+      { .process = aProcess, .request = std::move(aRequest), .at = aNow });
   }
 }
 
 void
-CrashDetector::recordResponse(const std::string& aServerId, Instant aSentAt)
+CrashDetector::recordResponse(const std::string& aServerId,
+                              policy::CrashId aProcess,
+                              Instant aSentAt)
 {
   const auto found = mLosses.find(aServerId);
   if (found == mLosses.end()) {
     return;
   }
-  std::erase_if(found->second,
-                [aSentAt](const Loss& aLoss) { return aLoss.at <= aSentAt; });
+  std::erase_if(found->second, [&](const Loss& aLoss) {
+    return aLoss.process == aProcess && aLoss.at <= aSentAt;
+  });
   if (found->second.empty()) {
     mLosses.erase(found);
   }
 }
 
+void
+CrashDetector::recordReachable(const std::string& aServerId,
+                               policy::CrashId aProcess)
+{
+  const auto found = mLosses.find(aServerId);
+  if (found == mLosses.end()) {
+    return;
+  }
+  for (Loss& loss : found->second) {
+    loss.needsProof = loss.needsProof || loss.process == aProcess;
+  }
+}
+
+void
+CrashDetector::recordLeaving(const std::string& aServerId)
+{
+  mLosses.erase(aServerId);
+}
+
 std::map<policy::CrashId, CrashDetector::Crash>
-CrashDetector::takeCrashes(const std::string& aServerId, Instant aNow)
+CrashDetector::takeCrashes(const std::string& aServerId,
+                           Evidence aEvidence,
+                           Instant aNow)
 {
   std::map<policy::CrashId, Crash> crashes;
   const auto found = mLosses.find(aServerId);
   if (found == mLosses.end()) {
     return crashes;
   }
-  for (const Loss& loss : found->second) {
-    if (aNow - loss.at <= kLossRetention) {
-      Crash& crash =
-        crashes.try_emplace(loss.crash, Crash{ .at = loss.at }).first->second;
-      crash.suspects.push_back(loss.request);
+  std::erase_if(found->second, [&](Loss& aLoss) {
+    if (aNow - aLoss.at > kLossRetention) {
+      return true;
     }
+    if (aLoss.needsProof && aEvidence != Evidence::Ended) {
+      return false;
+    }
+    Crash& crash =
+      crashes.try_emplace(aLoss.process, Crash{ .at = aLoss.at }).first->second;
+    crash.suspects.push_back(std::move(aLoss.request));
+    return true;
+  });
+  if (found->second.empty()) {
+    mLosses.erase(found);
   }
-  mLosses.erase(found);
   return crashes;
 }
 
--- a/gateway/src/crash_suspicions.cpp
+++ b/gateway/src/crash_suspicions.cpp
@@ -11,22 +11,40 @@
 void
 CrashSuspicions::requestLost(const std::string& aServerId,
                              policy::CrashId aProcess,
-                             const policy::RequestContent& aRequest,
+                             policy::RequestInProgress aRequest,
                              Instant aNow)
 {
-  mDetector.recordLoss(aServerId, aProcess, aRequest, aNow);
+  mDetector.recordLoss(aServerId, aProcess, std::move(aRequest), aNow);
 }
 
 void
-CrashSuspicions::serverResponded(const std::string& aServerId, Instant aSentAt)
+CrashSuspicions::serverResponded(const std::string& aServerId,
+                                 policy::CrashId aProcess,
+                                 Instant aSentAt)
 {
-  mDetector.recordResponse(aServerId, aSentAt);
+  mDetector.recordResponse(aServerId, aProcess, aSentAt);
 }
 
 void
-CrashSuspicions::serverGone(const std::string& aServerId, Instant aNow)
+CrashSuspicions::serverReachable(const std::string& aServerId,
+                                 policy::CrashId aProcess)
 {
-  for (auto& [process, crash] : mDetector.takeCrashes(aServerId, aNow)) {
+  mDetector.recordReachable(aServerId, aProcess);
+}
+
+void
+CrashSuspicions::serverLeaving(const std::string& aServerId)
+{
+  mDetector.recordLeaving(aServerId);
+}
+
+void
+CrashSuspicions::serverGone(const std::string& aServerId,
+                            CrashDetector::Evidence aEvidence,
+                            Instant aNow)
+{
+  for (auto& [process, crash] :
+       mDetector.takeCrashes(aServerId, aEvidence, aNow)) {
     removeServedSince(crash);
     logCrash(aServerId, crash);
     mShare(mQuarantine.recordCrash(
@@ -44,11 +62,11 @@
   const auto isInnocent = [this, &aCrash](std::uint64_t aContent) {
     return mServed.lastServed(aContent) > aCrash.at;
   };
-  std::erase_if(aCrash.suspects, [&](const policy::RequestContent& aRequest) {
-    return isInnocent(aRequest.fingerprint);
+  std::erase_if(aCrash.suspects, [&](const auto& aRequest) {
+    return isInnocent(aRequest.content.fingerprint);
   });
-  for (policy::RequestContent& request : aCrash.suspects) {
-    std::erase_if(request.parts, isInnocent);
+  for (policy::RequestInProgress& request : aCrash.suspects) {
+    std::erase_if(request.content.parts, isInnocent);
   }
 }
 
@@ -59,7 +77,7 @@
   boost::json::array suspects;
   boost::json::array parts;
   boost::json::array served;
-  for (const policy::RequestContent& request : aCrash.suspects) {
+  for (const auto& [request, hasBegun] : aCrash.suspects) {
     suspects.emplace_back(fingerprintText(request.fingerprint));
     for (const std::uint64_t part : request.parts) {
       (wasServed(part) ? served : parts).emplace_back(fingerprintText(part));
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -281,7 +281,13 @@
         { { "server", id }, { "reason", aReason } });
     mContext.pool.closeIdle(id);
     mContext.selector.removeServer(id);
-    mContext.crashSuspicions.serverGone(id, mLoop.now());
+    const ServerRecord* server = mContext.servers.find(id);
+    if (server != nullptr && server->isLeaving) {
+      mContext.crashSuspicions.serverLeaving(id);
+    } else {
+      mContext.crashSuspicions.serverGone(
+        id, CrashDetector::Evidence::Unreachable, mLoop.now());
+    }
   }
 }
 
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -195,7 +195,6 @@
   }
   if (!mHasForwardedEvents) {
     mHasForwardedEvents = true;
-    mContext.crashSuspicions.requestServed(mContent, now);
     mFirstEventDelay = now - mStartedAt;
     bhttp::response<bhttp::empty_body> head;
     head.result(mResponse.result());
@@ -257,13 +256,15 @@
 void
 RequestForwarder::handle(const ConnectionLost& aEvent)
 {
-  const Instant now = mContext.loop.now();
   if (!aEvent.isRequestSent) {
-    mContext.crashSuspicions.serverGone(mServerId, now);
+    mContext.crashSuspicions.serverGone(
+      mServerId,
+      aEvent.isRefused ? CrashDetector::Evidence::Ended
+                       : CrashDetector::Evidence::Unreachable,
+      mContext.loop.now());
     finishAttempt(AttemptOutcome::NotSent, aEvent.reason);
-  } else if (aEvent.isClosedByServer && !mHasForwardedEvents) {
-    mContext.crashSuspicions.requestLost(
-      mServerId, mServerProcess, mContent, now);
+  } else if (aEvent.isClosedByServer &&
+             mContext.servers.isServing(mServerId, mServerStartedMs)) {
     finishLostAttempt(aEvent.reason);
   } else {
     finishAttempt(AttemptOutcome::Lost, aEvent.reason);
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -32,7 +32,8 @@
   if (aOutcome == AttemptOutcome::Completed ||
       aOutcome == AttemptOutcome::Failed ||
       aOutcome == AttemptOutcome::Rejected) {
-    mContext.crashSuspicions.serverResponded(mServerId, mSentAt);
+    mContext.crashSuspicions.serverResponded(
+      mServerId, mServerProcess, mSentAt);
   }
   if (aOutcome != AttemptOutcome::Completed &&
       aOutcome != AttemptOutcome::Failed &&
@@ -45,23 +46,32 @@
 void
 RequestForwarder::finishLostAttempt(std::string_view aReason)
 {
+  mContext.crashSuspicions.requestLost(
+    mServerId,
+    mServerProcess,
+    { .content = mContent, .hasBegun = mAttemptHasEvents },
+    mContext.loop.now());
   recordAttemptEnd(AttemptOutcome::Lost, aReason);
   mIsProbing = true;
-  mContext.probe.check(mServerAddress,
-                       [self = shared_from_this(),
-                        server = mServerId,
-                        started = mServerStartedMs](ProbeResult aResult) {
-                         if (aResult == ProbeResult::Refused) {
-                           self->mContext.crashSuspicions.serverGone(
-                             server, self->mContext.loop.now());
-                           self->mContext.servers.markRestarting(
-                             server, started, self->mContext.loop.now());
-                         }
-                         self->mIsProbing = false;
-                         if (!self->mFinished) {
-                           self->decideNext(AttemptOutcome::Lost);
-                         }
-                       });
+  mContext.probe.check(
+    mServerAddress,
+    [self = shared_from_this(),
+     server = mServerId,
+     process = mServerProcess,
+     started = mServerStartedMs](ProbeResult aResult) {
+      Context& context = self->mContext;
+      if (aResult == ProbeResult::Refused) {
+        context.crashSuspicions.serverGone(
+          server, CrashDetector::Evidence::Ended, context.loop.now());
+        context.servers.markRestarting(server, started, context.loop.now());
+      } else if (aResult == ProbeResult::Reachable) {
+        context.crashSuspicions.serverReachable(server, process);
+      }
+      self->mIsProbing = false;
+      if (!self->mFinished) {
+        self->decideNext(AttemptOutcome::Lost);
+      }
+    });
 }
 
 void
@@ -92,8 +102,7 @@
           { "left_ms", remainingTime().count() / 1000 } });
   } else {
     mContext.crashSuspicions.requestEnded(mContent, mContext.loop.now());
-    // A stream was reported when it began.
-    if (mResponse.result_int() / 100 == 2 && !mIsEventStream) {
+    if (mResponse.result_int() / 100 == 2) {
       mContext.crashSuspicions.requestServed(mContent, mContext.loop.now());
     }
   }
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -219,6 +219,8 @@
   const Listener listener = std::move(mListener);
   const ConnectionLost event{ .isRequestSent = mRequestSent,
                               .isConnectFailed = !mOpen,
+                              .isRefused =
+                                aError == asio::error::connection_refused,
                               .isClosedByServer = isClosedByServer(aError),
                               .reason = aError.message() };
   abort();
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -301,17 +301,28 @@
   }
 }
 
+bool
+ServerList::isServing(const std::string& aServerId,
+                      std::int64_t aStartedMs) const
+{
+  const ServerRecord* current = find(aServerId);
+  if (current == nullptr || current->startedMs != aStartedMs ||
+      current->isLeaving) {
+    return false;
+  }
+  const Notice* notice = currentNotice(*current);
+  return notice == nullptr || !notice->isLeaving;
+}
+
 bool
 ServerList::isReady(const ServerRecord& aServer, Instant aNow) const
 {
   const ServerRecord* current = find(aServer.id);
-  if (current == nullptr || current->startedMs != aServer.startedMs ||
-      current->isLeaving || isEvacuated(*current)) {
+  if (!isServing(aServer.id, aServer.startedMs) || isEvacuated(*current)) {
     return false;
   }
   const Notice* notice = currentNotice(*current);
-  return notice == nullptr ||
-         (!notice->isLeaving && notice->pausedUntil <= aNow);
+  return notice == nullptr || notice->pausedUntil <= aNow;
 }
 
 bool
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -556,6 +556,9 @@
   CHECK_FALSE(list.firstResumption("s", now + seconds(3)));
 }
 
+constexpr auto kUnreachable = CrashDetector::Evidence::Unreachable;
+constexpr auto kEnded = CrashDetector::Evidence::Ended;
+
 TEST_CASE("crash_detector_serverRespondsLater_suspectsNothing")
 {
   // Connections are reset while many clients send the same request.
@@ -563,8 +566,8 @@
   const Instant start{ seconds(100) };
   detector.recordLoss("i-1", 1, { 7 }, start);
   detector.recordLoss("i-1", 1, { 7 }, start + milliseconds(10));
-  detector.recordResponse("i-1", start + milliseconds(20));
-  CHECK(detector.takeCrashes("i-1", start + seconds(1)).empty());
+  detector.recordResponse("i-1", 1, start + milliseconds(20));
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)).empty());
 }
 
 TEST_CASE("crash_detector_unreachableServer_suspectsRequestsInProgress")
@@ -576,11 +579,40 @@
   detector.recordLoss("i-1", 2, { 7 }, start + milliseconds(5));
   detector.recordLoss("i-2", 3, { 9 }, start);
   // A response to a request sent before the loss does not disprove a crash.
-  detector.recordResponse("i-1", start - milliseconds(1));
-  CHECK(detector.takeCrashes("i-1", start + seconds(1)) ==
+  detector.recordResponse("i-1", 1, start - milliseconds(1));
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)) ==
         std::map<policy::CrashId, CrashDetector::Crash>{
           { 1, { .at = start, .suspects = { { 7 }, { 8 } } } },
           { 2, { .at = start + milliseconds(5), .suspects = { { 7 } } } } });
-  CHECK(detector.takeCrashes("i-1", start + seconds(1)).empty());
-  CHECK(detector.takeCrashes("i-2", start + seconds(6)).empty());
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)).empty());
+  CHECK(detector.takeCrashes("i-2", kUnreachable, start + seconds(6)).empty());
+}
+
+TEST_CASE("crash_detector_nextProcessResponds_formerOneHasCrashedAllTheSame")
+{
+  CrashDetector detector;
+  const Instant start{ seconds(100) };
+  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordResponse("i-1", 2, start + seconds(1));
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(2)).size() ==
+        1);
+}
+
+TEST_CASE("crash_detector_processAcceptsConnections_countsOnlyIfItHasEnded")
+{
+  CrashDetector detector;
+  const Instant start{ seconds(100) };
+  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordReachable("i-1", 1);
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)).empty());
+  CHECK(detector.takeCrashes("i-1", kEnded, start + seconds(1)).size() == 1);
+}
+
+TEST_CASE("crash_detector_serverLeavesByPlan_suspectsNothing")
+{
+  CrashDetector detector;
+  const Instant start{ seconds(100) };
+  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLeaving("i-1");
+  CHECK(detector.takeCrashes("i-1", kEnded, start + seconds(1)).empty());
 }
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -35,6 +35,16 @@
   bool operator==(const RequestContent&) const = default;
 };
 
+/// A request that was in progress when a backend server crashed.
+struct RequestInProgress
+{
+  RequestContent content;
+  /// Its response had begun: the server had run it for a while.
+  bool hasBegun = false;
+
+  bool operator==(const RequestInProgress&) const = default;
+};
+
 /// Specificity of a fingerprint; a part of a prompt has its index.
 inline constexpr std::uint8_t kWholeRequest = 255;
 
@@ -52,12 +62,16 @@
   bool wasServed = false;
   Duration sinceFirstCrash{ 0 };
   Duration sinceLastCrash{ 0 };
+  /// The response had begun at each of the crashes.
+  bool hadBegun = false;
 };
 
 /// Identifies requests that crash backend servers, so that retries of one do
 /// not take down one server after another. All requests in progress at a crash
 /// become suspects. A request that was in progress at two crashes is taken to
-/// be the cause and refused, unless another one was in progress at both.
+/// be the cause and refused, unless another one was in progress at both. Three
+/// crashes are needed if its response had begun at each of them: such a request
+/// may have been moved from one server of a failing rack to another.
 ///
 /// Parts of prompts are suspected likewise. A part counts a crash only if
 /// another request with it crashed a server before, so that a request that is
@@ -104,6 +118,15 @@
   /// @param aInProgress The requests it was running.
   /// @param aSinceCrash How long ago it crashed.
   /// @return The suspicions that were added or renewed.
+  std::vector<SuspicionRecord> recordCrash(
+    CrashId aCrash,
+    std::span<const RequestInProgress> aInProgress,
+    Instant aNow,
+    const WasServed& aWasServed = [](std::uint64_t) { return false; },
+    Duration aSinceCrash = Duration(0));
+
+  /// Records a crash of a server whose requests had not begun to respond, or of
+  /// which this is unknown.
   std::vector<SuspicionRecord> recordCrash(
     CrashId aCrash,
     std::span<const RequestContent> aInProgress,
@@ -156,6 +179,8 @@
     Duration term{ 0 }; ///< Of the suspicion or refusal.
     Instant until{};    ///< End of the term.
     bool wasServed = false;
+    /// At some crash its response had not begun.
+    bool hasEarlyCrash = false;
     Instant firstCrashAt{};
     Instant lastCrashAt{};
 
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -56,9 +56,13 @@
 bool
 Quarantine::Entry::hasEnoughCrashes() const
 {
-  return wasServed ? crashIds.size() >= kCrashesToRefuseAnyway &&
-                       lastCrashAt - firstCrashAt >= kConcurrentCrashes
-                   : crashIds.size() >= kCrashesToRefuse;
+  if (wasServed) {
+    return crashIds.size() >= kCrashesToRefuseAnyway &&
+           lastCrashAt - firstCrashAt >= kConcurrentCrashes;
+  }
+  const bool hadBegun = specificity == kWholeRequest && !hasEarlyCrash;
+  return crashIds.size() >=
+         (hadBegun ? kCrashesToRefuseAnyway : kCrashesToRefuse);
 }
 
 bool
@@ -187,31 +191,36 @@
            .specificity = aEntry.specificity,
            .wasServed = aEntry.wasServed,
            .sinceFirstCrash = aNow - aEntry.firstCrashAt,
-           .sinceLastCrash = aNow - aEntry.lastCrashAt };
+           .sinceLastCrash = aNow - aEntry.lastCrashAt,
+           .hadBegun = !aEntry.hasEarlyCrash };
 }
 
 std::vector<SuspicionRecord>
 Quarantine::recordCrash(CrashId aCrash,
-                        std::span<const RequestContent> aInProgress,
+                        std::span<const RequestInProgress> aInProgress,
                         Instant aNow,
                         const WasServed& aWasServed,
                         Duration aSinceCrash)
 {
   std::vector<std::uint64_t> suspects;
-  const auto add = [&](std::uint64_t aFingerprint, std::size_t aSpecificity) {
-    if (Entry* entry = addSuspect(aFingerprint, aCrash, aNow)) {
-      entry->addCrashAt(aNow - aSinceCrash);
-      entry->specificity = static_cast<std::uint8_t>(aSpecificity);
-      entry->wasServed = entry->wasServed || aWasServed(aFingerprint);
-      suspects.push_back(aFingerprint);
-    }
-  };
-  for (const RequestContent& request : aInProgress) {
+  const auto add =
+    [&](std::uint64_t aFingerprint, std::size_t aSpecificity, bool aHasBegun) {
+      if (Entry* entry = addSuspect(aFingerprint, aCrash, aNow)) {
+        entry->hasEarlyCrash = entry->hasEarlyCrash || !aHasBegun;
+        entry->addCrashAt(aNow - aSinceCrash);
+        entry->specificity = static_cast<std::uint8_t>(aSpecificity);
+        entry->wasServed = entry->wasServed || aWasServed(aFingerprint);
+        suspects.push_back(aFingerprint);
+      }
+    };
+  for (const auto& [request, hasBegun] : aInProgress) {
     const bool isRepeated =
       suspicion(request.fingerprint, aNow) != Suspicion::None;
-    add(request.fingerprint, kWholeRequest);
+    add(request.fingerprint, kWholeRequest, hasBegun);
     for (std::size_t i = 0; !isRepeated && i < request.parts.size(); ++i) {
-      add(request.parts[i], std::min<std::size_t>(i, kWholeRequest - 1));
+      add(request.parts[i],
+          std::min<std::size_t>(i, kWholeRequest - 1),
+          hasBegun);
     }
   }
   std::sort(suspects.begin(), suspects.end());
@@ -224,6 +233,24 @@
   return changed;
 }
 
+std::vector<SuspicionRecord>
+Quarantine::recordCrash(CrashId aCrash,
+                        std::span<const RequestContent> aInProgress,
+                        Instant aNow,
+                        const WasServed& aWasServed,
+                        Duration aSinceCrash)
+{
+  std::vector<RequestInProgress> requests;
+  for (const RequestContent& content : aInProgress) {
+    requests.push_back({ .content = content });
+  }
+  return recordCrash(aCrash,
+                     std::span<const RequestInProgress>(requests),
+                     aNow,
+                     aWasServed,
+                     aSinceCrash);
+}
+
 bool
 Quarantine::clearSuspect(std::uint64_t aFingerprint, Instant aNow)
 {
@@ -282,6 +309,7 @@
   }
   entry->isRefusedElsewhere = entry->isRefusedElsewhere || hasNoEvidence;
   entry->wasServed = entry->wasServed || aRecord.wasServed;
+  entry->hasEarlyCrash = entry->hasEarlyCrash || !aRecord.hadBegun;
   entry->addCrashAt(aNow - aRecord.sinceFirstCrash);
   entry->addCrashAt(aNow - aRecord.sinceLastCrash);
   if (!isNew) {
--- a/policy/tests/unit_quarantine.cpp
+++ b/policy/tests/unit_quarantine.cpp
@@ -185,3 +185,32 @@
   quarantine.recordCrash(3, inProgress, later);
   CHECK(quarantine.suspicion(3, later) == Suspicion::Suspect);
 }
+
+// A request that crashes its servers after its response has begun is refused by
+// every daemon after three crashes, whoever saw them.
+TEST_CASE("quarantine_responseHadBegunAtEachCrash_threeCrashesRefuse")
+{
+  const std::vector<RequestInProgress> begun{ { .content = { 7 },
+                                                .hasBegun = true } };
+  const std::vector<RequestInProgress> early{ { .content = { 7 } } };
+  Quarantine first;
+  Quarantine second;
+  second.merge(first.recordCrash(1, begun, kStart), kStart);
+  first.merge(second.recordCrash(2, begun, kStart), kStart);
+  CHECK(first.suspicion(7, kStart) == Suspicion::Suspect);
+  CHECK(second.suspicion(7, kStart) == Suspicion::Suspect);
+  SECTION("a third one")
+  {
+    first.merge(second.recordCrash(3, begun, kStart), kStart);
+  }
+  SECTION("the last of two before the response began")
+  {
+    Quarantine third;
+    const auto other = third.recordCrash(2, early, kStart);
+    first.merge(other, kStart);
+    second.merge(other, kStart);
+    first.merge(second.recordCrash(3, early, kStart), kStart);
+  }
+  CHECK(first.suspicion(7, kStart) == Suspicion::Refused);
+  CHECK(second.suspicion(7, kStart) == Suspicion::Refused);
+}
--- a/wire/src/suspicion.cpp
+++ b/wire/src/suspicion.cpp
@@ -25,6 +25,7 @@
     message.remaining_us.push_back(record.remaining.count());
     message.specificities.push_back(record.specificity);
     message.served.push_back(record.wasServed);
+    message.had_begun.push_back(record.hadBegun);
     message.since_first_crash_us.push_back(record.sinceFirstCrash.count());
     message.since_last_crash_us.push_back(record.sinceLastCrash.count());
     message.crash_id_counts.push_back(
@@ -57,6 +58,9 @@
     if (i < aMessage.served.size()) {
       record.wasServed = aMessage.served[i];
     }
+    if (i < aMessage.had_begun.size()) {
+      record.hadBegun = aMessage.had_begun[i];
+    }
     record.sinceFirstCrash = elapsedAt(aMessage.since_first_crash_us, i);
     record.sinceLastCrash = elapsedAt(aMessage.since_last_crash_us, i);
     const std::size_t lastCrash =
