Suspicions: a request whose server went silent counts once its process has ended

Cause: only connections that the server closed were recorded as lost; a server that crashes with its host closes none.

Ruled out: losses that are recorded and not taken for a crash.

Change: each attempt without a complete response is recorded; without a closed connection it counts only if the process has ended since (its port is closed, or another process is listed at its address), as a silent server may be cut off.

--- a/gateway/include/laburnum/gateway/crash_detector.hpp
+++ b/gateway/include/laburnum/gateway/crash_detector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "laburnum/contract/settings.hpp"
 #include "laburnum/kernel/time.hpp"
 #include "laburnum/policy/quarantine.hpp"
 
@@ -21,13 +22,20 @@
 class CrashDetector
 {
 public:
-  /// Records that the connection was lost before the response to a request was
-  /// complete. `aProcess` identifies the process of the server that the request
-  /// was sent to.
-  void recordLoss(const std::string& aServerId,
-                  policy::CrashId aProcess,
-                  policy::RequestInProgress aRequest,
-                  Instant aNow);
+  /// A request whose response did not become complete.
+  struct Loss
+  {
+    policy::CrashId process = 0; ///< Of the server that it was sent to.
+    contract::Address address;   ///< Of the server.
+    policy::RequestInProgress request;
+    Instant at{};
+    /// Counts only if the process has ended: the server was silent, or still
+    /// accepted connections.
+    bool needsProof = false;
+  };
+
+  /// Records a loss at a server.
+  void recordLoss(const std::string& aServerId, Loss aLoss);
 
   /// Records a response to a request sent at `aSentAt`. Losses of the same
   /// process up to that time were not crashes and are discarded.
@@ -58,21 +66,27 @@
     Ended        ///< Its port is closed.
   };
 
+  using Crashes = std::map<policy::CrashId, Crash>; ///< By process.
+
   /// Called when the server is gone. Returns the requests lost within the last
-  /// 5 s that count by this evidence, by process, and discards them, so that
-  /// each is reported once.
-  std::map<policy::CrashId, Crash> takeCrashes(const std::string& aServerId,
-                                               Evidence aEvidence,
-                                               Instant aNow);
+  /// 5 s, or 30 s if it has ended, that count by this evidence, and discards
+  /// them, so that each is reported once.
+  Crashes takeCrashes(const std::string& aServerId,
+                      Evidence aEvidence,
+                      Instant aNow);
+
+  /// Called when a process is listed at an address: any other process there has
+  /// ended. Returns the requests that it has lost within the last 30 s, and
+  /// discards them.
+  std::map<std::string, Crashes> takeEnded(const contract::Address& aAddress,
+                                           policy::CrashId aProcess,
+                                           Instant aNow);
 
 private:
-  struct Loss
-  {
-    policy::CrashId process = 0;
-    policy::RequestInProgress request;
-    Instant at{};
-    bool needsProof = false; ///< Counts only if the process has ended.
-  };
+  /// Moves the losses for which the predicate holds to crashes.
+  template<class Predicate>
+  Crashes take(std::vector<Loss>& aLosses, Predicate aPredicate);
+
   std::map<std::string, std::vector<Loss>> mLosses; ///< By server.
 };
 
--- a/gateway/include/laburnum/gateway/crash_suspicions.hpp
+++ b/gateway/include/laburnum/gateway/crash_suspicions.hpp
@@ -28,12 +28,15 @@
     mShare = std::move(aShare);
   }
 
-  /// Records that the connection was lost before the response to a request was
-  /// complete. `aProcess` identifies the process of the server.
-  void requestLost(const std::string& aServerId,
-                   policy::CrashId aProcess,
-                   policy::RequestInProgress aRequest,
-                   Instant aNow);
+  /// Records that the response to a request did not become complete, although
+  /// the server neither said that it leaves nor that it rejects the request.
+  void requestLost(const std::string& aServerId, CrashDetector::Loss aLoss);
+
+  /// Called when a process is listed at an address. Requests that another
+  /// process there has lost become suspects.
+  void serverStarted(const contract::Address& aAddress,
+                     policy::CrashId aProcess,
+                     Instant aNow);
 
   /// Records a response to a request that was sent at `aSentAt`: the process
   /// had not crashed by then.
@@ -79,6 +82,9 @@
                             Instant aNow) const;
 
 private:
+  void recordCrashes(const std::string& aServerId,
+                     CrashDetector::Crashes aCrashes,
+                     Instant aNow);
   /// Drops what was served after the crash and so did not cause it.
   void removeServedSince(CrashDetector::Crash& aCrash) const;
   void logCrash(const std::string& aServerId,
--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -95,6 +95,9 @@
   /// others.
   std::vector<std::shared_ptr<ClientConnection>> openClients() const;
   void migrateFrom(const std::string& aServerId, AttemptOutcome aOutcome);
+  /// Records that a server of the list runs: former processes at its address
+  /// have ended.
+  void recordProcess(const std::string& aServerId);
   void migrateIfSlow(const ServerRecord& aServer);
   /// Checks for silent servers and stewards, a few times a second.
   asio::awaitable<void> maintain();
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -115,7 +115,12 @@
   /// Decides what follows the loss of a connection that the server has closed,
   /// as soon as it is known whether the server has crashed.
   void finishLostAttempt(std::string_view aReason);
-  void recordAttemptEnd(AttemptOutcome aOutcome, std::string_view aReason);
+  void recordAttemptEnd(AttemptOutcome aOutcome,
+                        std::string_view aReason,
+                        bool aIsClosedByServer = false);
+  /// Records that the attempt in progress has got no complete response, for
+  /// the case that its server has crashed.
+  void recordLoss(bool aIsClosedByServer);
   void decideNext(AttemptOutcome aOutcome);
   void apply(const ForwardResponse& aDecision);
   void apply(const RetryRequest& aDecision);
@@ -128,7 +133,7 @@
   void giveUpResponse();
   void onDeadline();
   void startTimer(Duration aTime, bool aIsAttempt);
-  void endAttempt(AttemptOutcome aOutcome);
+  void endAttempt(AttemptOutcome aOutcome, bool aIsClosedByServer = false);
   void finish(std::string_view aOutcome, unsigned aStatus);
   Duration remainingTime() const;
   /// Priorities of account and route, for logs and metrics.
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/contract/settings.hpp"
+#include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
@@ -29,6 +30,12 @@
   /// Time for which it stays cold, from when its entry was read; nothing if the
   /// entry does not say.
   std::optional<Duration> coldTime;
+
+  /// Identifies the process; the same in each gateway.
+  std::uint64_t processId() const
+  {
+    return mix(hash64(id), static_cast<std::uint64_t>(startedMs));
+  }
 };
 
 /// What the servers of a service tolerate while they are cold.
@@ -141,6 +148,11 @@
   /// paused.
   bool isServing(const std::string& aServerId, std::int64_t aStartedMs) const;
 
+  /// True if a later process of the server is listed, and this one is not known
+  /// to have left.
+  bool hasRestarted(const std::string& aServerId,
+                    std::int64_t aStartedMs) const;
+
   /// Excludes a server process that said that it is leaving, or whose address
   /// now belongs to another server. It stays excluded if its entry lapses and
   /// returns.
@@ -216,8 +228,9 @@
   {
     std::int64_t startedMs = 0; ///< Of the process.
     bool isLeaving = false;
-    bool isGone = false;       ///< Its entry was removed.
-    std::int64_t sequence = 0; ///< Highest one of its entries.
+    bool isGone = false;        ///< Its entry was removed.
+    bool hasFormerLeft = false; ///< The process before it was leaving.
+    std::int64_t sequence = 0;  ///< Highest one of its entries.
     Instant pausedUntil{};
     std::optional<double> rateLimit;
     Instant restartingUntil{}; ///< Until when it is treated as cold.
--- a/gateway/src/crash_suspicions.cpp
+++ b/gateway/src/crash_suspicions.cpp
@@ -10,11 +10,20 @@
 
 void
 CrashSuspicions::requestLost(const std::string& aServerId,
-                             policy::CrashId aProcess,
-                             policy::RequestInProgress aRequest,
-                             Instant aNow)
+                             CrashDetector::Loss aLoss)
 {
-  mDetector.recordLoss(aServerId, aProcess, std::move(aRequest), aNow);
+  mDetector.recordLoss(aServerId, std::move(aLoss));
+}
+
+void
+CrashSuspicions::serverStarted(const contract::Address& aAddress,
+                               policy::CrashId aProcess,
+                               Instant aNow)
+{
+  for (auto& [server, crashes] :
+       mDetector.takeEnded(aAddress, aProcess, aNow)) {
+    recordCrashes(server, std::move(crashes), aNow);
+  }
 }
 
 void
@@ -43,8 +52,16 @@
                             CrashDetector::Evidence aEvidence,
                             Instant aNow)
 {
-  for (auto& [process, crash] :
-       mDetector.takeCrashes(aServerId, aEvidence, aNow)) {
+  recordCrashes(
+    aServerId, mDetector.takeCrashes(aServerId, aEvidence, aNow), aNow);
+}
+
+void
+CrashSuspicions::recordCrashes(const std::string& aServerId,
+                               CrashDetector::Crashes aCrashes,
+                               Instant aNow)
+{
+  for (auto& [process, crash] : aCrashes) {
     removeServedSince(crash);
     logCrash(aServerId, crash);
     mShare(mQuarantine.recordCrash(
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -298,6 +298,7 @@
                 "not in the list");
   mHasServers = mHasServers || mContext.servers.size() > 0;
   for (const ServerRecord& server : aRecords) {
+    recordProcess(server.id);
     migrateIfSlow(server);
   }
 }
@@ -318,11 +319,21 @@
   mHasServers = mHasServers || mContext.servers.size() > 0;
   for (const ServerChange& change : aChanges) {
     if (change.record) {
+      recordProcess(change.id);
       migrateIfSlow(*change.record);
     }
   }
 }
 
+void
+Gateway::recordProcess(const std::string& aServerId)
+{
+  if (const ServerRecord* server = mContext.servers.find(aServerId)) {
+    mContext.crashSuspicions.serverStarted(
+      server->address, server->processId(), mLoop.now());
+  }
+}
+
 void
 Gateway::migrateIfSlow(const ServerRecord& aServer)
 {
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 void
-RequestForwarder::endAttempt(AttemptOutcome aOutcome)
+RequestForwarder::endAttempt(AttemptOutcome aOutcome, bool aIsClosedByServer)
 {
   mAttemptTimer.cancel();
   mContext.responseMemory.remove(this);
@@ -35,6 +35,9 @@
     mContext.crashSuspicions.serverResponded(
       mServerId, mServerProcess, mSentAt);
   }
+  if (aOutcome == AttemptOutcome::Lost) {
+    recordLoss(aIsClosedByServer);
+  }
   if (aOutcome != AttemptOutcome::Completed &&
       aOutcome != AttemptOutcome::Failed &&
       aOutcome != AttemptOutcome::Rejected) {
@@ -44,14 +47,32 @@
 }
 
 void
-RequestForwarder::finishLostAttempt(std::string_view aReason)
+RequestForwarder::recordLoss(bool aIsClosedByServer)
 {
+  const ServerList& servers = mContext.servers;
+  const bool hasRestarted = servers.hasRestarted(mServerId, mServerStartedMs);
+  if (!hasRestarted && !servers.isServing(mServerId, mServerStartedMs)) {
+    return;
+  }
+  const Instant now = mContext.loop.now();
   mContext.crashSuspicions.requestLost(
     mServerId,
-    mServerProcess,
-    { .content = mContent, .hasBegun = mAttemptHasEvents },
-    mContext.loop.now());
-  recordAttemptEnd(AttemptOutcome::Lost, aReason);
+    { .process = mServerProcess,
+      .address = mServerAddress,
+      .request = { .content = mContent, .hasBegun = mAttemptHasEvents },
+      .at = now,
+      .needsProof = !aIsClosedByServer });
+  if (hasRestarted) {
+    const ServerRecord* server = servers.find(mServerId);
+    mContext.crashSuspicions.serverStarted(
+      mServerAddress, server->processId(), now);
+  }
+}
+
+void
+RequestForwarder::finishLostAttempt(std::string_view aReason)
+{
+  recordAttemptEnd(AttemptOutcome::Lost, aReason, true);
   mIsProbing = true;
   mContext.probe.check(
     mServerAddress,
@@ -84,9 +105,10 @@
 
 void
 RequestForwarder::recordAttemptEnd(AttemptOutcome aOutcome,
-                                   std::string_view aReason)
+                                   std::string_view aReason,
+                                   bool aIsClosedByServer)
 {
-  endAttempt(aOutcome);
+  endAttempt(aOutcome, aIsClosedByServer);
   if (aOutcome != AttemptOutcome::Completed) {
     log(LogLevel::Info,
         "attempt_ended",
--- a/gateway/src/request_forwarder_dispatch.cpp
+++ b/gateway/src/request_forwarder_dispatch.cpp
@@ -3,7 +3,6 @@
 #include "laburnum/gateway/request_forwarder.hpp"
 
 #include "end_to_end.hpp"
-#include "laburnum/kernel/hash.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include <algorithm>
@@ -190,8 +189,7 @@
     return;
   }
   mServerId = aServer.id;
-  mServerProcess =
-    mix(hash64(aServer.id), static_cast<std::uint64_t>(aServer.startedMs));
+  mServerProcess = aServer.processId();
   mServerAddress = aServer.address;
   mServerStartedMs = aServer.startedMs;
   mConnection = connection;
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -269,7 +269,7 @@
     return nullptr; // Said by a former process.
   }
   if (notice.startedMs < aStartedMs) {
-    notice = { .startedMs = aStartedMs };
+    notice = { .startedMs = aStartedMs, .hasFormerLeft = notice.isLeaving };
   }
   return &notice;
 }
@@ -314,6 +314,18 @@
   return notice == nullptr || !notice->isLeaving;
 }
 
+bool
+ServerList::hasRestarted(const std::string& aServerId,
+                         std::int64_t aStartedMs) const
+{
+  const ServerRecord* current = find(aServerId);
+  if (current == nullptr || current->startedMs <= aStartedMs) {
+    return false;
+  }
+  const Notice* notice = currentNotice(*current);
+  return notice != nullptr && !notice->hasFormerLeft;
+}
+
 bool
 ServerList::isReady(const ServerRecord& aServer, Instant aNow) const
 {
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -559,13 +559,22 @@
 constexpr auto kUnreachable = CrashDetector::Evidence::Unreachable;
 constexpr auto kEnded = CrashDetector::Evidence::Ended;
 
+static CrashDetector::Loss
+loss(policy::CrashId aProcess, std::uint64_t aFingerprint, Instant aAt)
+{
+  return { .process = aProcess,
+           .address = { "127.0.0.1", 80 },
+           .request = { .content = { .fingerprint = aFingerprint } },
+           .at = aAt };
+}
+
 TEST_CASE("crash_detector_serverRespondsLater_suspectsNothing")
 {
   // Connections are reset while many clients send the same request.
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, { 7 }, start);
-  detector.recordLoss("i-1", 1, { 7 }, start + milliseconds(10));
+  detector.recordLoss("i-1", loss(1, 7, start));
+  detector.recordLoss("i-1", loss(1, 7, start + milliseconds(10)));
   detector.recordResponse("i-1", 1, start + milliseconds(20));
   CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)).empty());
 }
@@ -574,10 +583,10 @@
 {
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, { 7 }, start);
-  detector.recordLoss("i-1", 1, { 8 }, start + milliseconds(5));
-  detector.recordLoss("i-1", 2, { 7 }, start + milliseconds(5));
-  detector.recordLoss("i-2", 3, { 9 }, start);
+  detector.recordLoss("i-1", loss(1, 7, start));
+  detector.recordLoss("i-1", loss(1, 8, start + milliseconds(5)));
+  detector.recordLoss("i-1", loss(2, 7, start + milliseconds(5)));
+  detector.recordLoss("i-2", loss(3, 9, start));
   // A response to a request sent before the loss does not disprove a crash.
   detector.recordResponse("i-1", 1, start - milliseconds(1));
   CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)) ==
@@ -592,7 +601,7 @@
 {
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLoss("i-1", loss(1, 7, start));
   detector.recordResponse("i-1", 2, start + seconds(1));
   CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(2)).size() ==
         1);
@@ -602,7 +611,7 @@
 {
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLoss("i-1", loss(1, 7, start));
   detector.recordReachable("i-1", 1);
   CHECK(detector.takeCrashes("i-1", kUnreachable, start + seconds(1)).empty());
   CHECK(detector.takeCrashes("i-1", kEnded, start + seconds(1)).size() == 1);
@@ -612,7 +621,38 @@
 {
   CrashDetector detector;
   const Instant start{ seconds(100) };
-  detector.recordLoss("i-1", 1, { 7 }, start);
+  detector.recordLoss("i-1", loss(1, 7, start));
   detector.recordLeaving("i-1");
   CHECK(detector.takeCrashes("i-1", kEnded, start + seconds(1)).empty());
 }
+
+TEST_CASE("crash_detector_serverWasSilent_countsOnceItsProcessHasEnded")
+{
+  CrashDetector detector;
+  const Instant start{ seconds(100) };
+  CrashDetector::Loss silent = loss(1, 7, start);
+  silent.needsProof = true;
+  detector.recordLoss("i-1", silent);
+  const contract::Address address = silent.address;
+  CHECK(detector.takeCrashes("i-1", kUnreachable, start).empty());
+  CHECK(detector.takeEnded(address, 1, start + seconds(9)).empty());
+  CHECK(detector.takeEnded({ "127.0.0.2", 80 }, 2, start + seconds(9)).empty());
+  SECTION("another process is at its address")
+  {
+    CHECK(detector.takeEnded(address, 2, start + seconds(9)).size() == 1);
+    CHECK(detector.takeEnded(address, 2, start + seconds(9)).empty());
+  }
+  SECTION("its port is closed")
+  {
+    CHECK(detector.takeCrashes("i-1", kEnded, start + seconds(9)).size() == 1);
+  }
+  SECTION("it responds before it ends")
+  {
+    detector.recordResponse("i-1", 1, start + seconds(2));
+    CHECK(detector.takeEnded(address, 2, start + seconds(9)).empty());
+  }
+  SECTION("it ends much later")
+  {
+    CHECK(detector.takeEnded(address, 2, start + seconds(31)).empty());
+  }
+}
