Responses: a status that HTTP does not have is no answer

Cause: the parser takes any three digits as a status, and nothing checked them.

Ruled out: that only 000 passes (001, 099, 600, 777 and 999 did, too). Text, two and four digits were refused by the parser before.

Change: after interim responses a status outside of 200 to 599 makes a response invalid, in gateways and in the client that agents, stewards and the store's watchers use. 101 is no interim response, as nobody asks to switch protocols.

--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -139,12 +139,14 @@
         self->fail(aError);
         return;
       }
-      if (self->mParser->get().result_int() / 100 == 1) {
-        // An interim response; the final one follows.
-        if (++self->mInterimResponses > http::kMaxInterimResponses) {
-          self->fail(bhttp::make_error_code(bhttp::error::bad_status));
-          return;
-        }
+      const unsigned status = self->mParser->get().result_int();
+      const bool isInterim = http::isInterimStatus(status);
+      if (isInterim ? ++self->mInterimResponses > http::kMaxInterimResponses
+                    : !http::isFinalStatus(status)) {
+        self->fail(bhttp::make_error_code(bhttp::error::bad_status));
+        return;
+      }
+      if (isInterim) {
         self->mParser.emplace();
         self->mParser->body_limit(kMaxBodyBytes);
         self->readHead();
--- a/gateway/tests/unit_faulty_servers.cpp
+++ b/gateway/tests/unit_faulty_servers.cpp
@@ -403,3 +403,99 @@
   CHECK(received.find(second) != std::string::npos);
   CHECK(received.ends_with("0\r\n\r\n"));
 }
+
+namespace {
+
+/// A complete and matching response but for its status line.
+std::string
+responseWithStatus(const std::string& aStatus, std::string_view aBody)
+{
+  std::string text = response(200, kSignatureField, aBody);
+  return text.replace(text.find("200 X"), 5, aStatus);
+}
+
+std::string
+streamWithStatus(const std::string& aStatus)
+{
+  std::string text =
+    kEventStreamHead + chunk("id: 2\ndata: spoiled\n\n") + "0\r\n\r\n";
+  return text.replace(text.find("200 OK"), 6, aStatus);
+}
+
+} // namespace
+
+// Guards against MIXED: a status that HTTP does not have was passed on as an
+// answer.
+TEST_CASE("gateway_statusThatHttpDoesNotHave_isNoAnswer")
+{
+  const std::string status = GENERATE("000",
+                                      "000 X",
+                                      "001 X",
+                                      "099 X",
+                                      "600 X",
+                                      "777 X",
+                                      "999 X",
+                                      "101 Switching Protocols",
+                                      "20 X",
+                                      "2000 X",
+                                      "-20 X",
+                                      "2x0 X",
+                                      "OK",
+                                      "");
+  CAPTURE(status);
+  const std::string spoiled = responseWithStatus(status, "spoiled");
+  const std::string good = response(200, kSignatureField, "body");
+  GatewayFixture safe({ { spoiled }, { good } });
+  const std::string received = safe.request("GET", "/safe/x");
+  CHECK(statusOf(received) == 200);
+  CHECK(received.ends_with("\r\n\r\nbody"));
+
+  GatewayFixture once({ { spoiled }, { good } });
+  const std::string failed = once.request("POST", "/once/x", "", "work");
+  CHECK(statusOf(failed) == 502);
+  CHECK(failed.find("\"may_have_run\"") != std::string::npos);
+  CHECK(failed.find("spoiled") == std::string::npos);
+  CHECK(once.servers[1]->requests.empty());
+
+  const std::string rest =
+    kEventStreamHead + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+  GatewayFixture stream({ { streamWithStatus(status) }, { rest } });
+  const std::string begun =
+    stream.request("POST", "/events/x", "Last-Event-Id: 1\r\n", "prompt");
+  CHECK(statusOf(begun) == 200);
+  CHECK(begun.find("data: b\n") != std::string::npos);
+  CHECK(begun.find("spoiled") == std::string::npos);
+
+  const std::string broken =
+    kEventStreamHead + chunk("id: 1\ndata: a\n\nid: 2\nda");
+  for (const std::string& second : { streamWithStatus(status), spoiled }) {
+    GatewayFixture resumed({ { broken }, { second } });
+    const std::string brokenOff =
+      resumed.request("POST", "/events/x", "", "prompt");
+    CHECK(resumed.servers[1]->requests.size() == 1);
+    CHECK(brokenOff.find("data: a\n") != std::string::npos);
+    CHECK(brokenOff.find("spoiled") == std::string::npos);
+    CHECK_FALSE(brokenOff.ends_with("0\r\n\r\n"));
+  }
+}
+
+// The other side: each final status that HTTP has is passed on unchanged, after
+// interim responses, too.
+TEST_CASE("gateway_statusThatHttpHas_isPassedOn")
+{
+  const std::string interim =
+    GENERATE("",
+             "HTTP/1.1 100 Continue\r\n\r\n",
+             "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n",
+             "HTTP/1.1 199 X\r\n\r\n");
+  CAPTURE(interim);
+  for (const unsigned status :
+       { 200, 201, 299, 300, 399, 400, 499, 500, 599 }) {
+    CAPTURE(status);
+    GatewayFixture fixture(
+      { { interim + response(status, kSignatureField, "body") } });
+    const std::string received = fixture.request("POST", "/once/x", "", "work");
+    CHECK(statusOf(received) == status);
+    CHECK(received.ends_with("\r\n\r\nbody"));
+  }
+}
--- a/http/include/laburnum/http/messages.hpp
+++ b/http/include/laburnum/http/messages.hpp
@@ -22,4 +22,20 @@
 /// without end.
 inline constexpr int kMaxInterimResponses = 8;
 
+/// True for the status of a response that another one follows. No peer is asked
+/// to switch protocols, so 101 is none.
+constexpr bool
+isInterimStatus(unsigned aStatus)
+{
+  return aStatus / 100 == 1 && aStatus != 101;
+}
+
+/// True for the status of a final response. HTTP has no other ones (RFC 9110,
+/// section 15); a server that sends one is faulty.
+constexpr bool
+isFinalStatus(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
 } // namespace laburnum::http
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -81,11 +81,11 @@
     }
     co_await bhttp::async_read_header(
       mStream, mBuffer, *mParser, redirect_error(use_awaitable, error));
-    if (error || mParser->get().result_int() / 100 != 1) {
+    if (error || !isInterimStatus(mParser->get().result_int())) {
       break;
     }
   }
-  if (!error && mParser->get().result_int() / 100 == 1) {
+  if (!error && !isFinalStatus(mParser->get().result_int())) {
     error = bhttp::make_error_code(bhttp::error::bad_status);
   }
   if (error) {
--- a/http/tests/unit_http.cpp
+++ b/http/tests/unit_http.cpp
@@ -160,3 +160,53 @@
     CHECK(events == std::vector<std::string>{ "one", "two", "a\nb" });
   }
 }
+
+// Guards against MIXED: a status that HTTP does not have was taken for that of
+// a final response.
+TEST_CASE("ClientPool, status that HTTP does not have, is a failure")
+{
+  using asio::ip::tcp;
+  struct Row
+  {
+    std::string status;
+    bool isFinal;
+  };
+  const auto [status, isFinal] =
+    GENERATE(values<Row>({ { "000 X", false },
+                           { "099 X", false },
+                           { "101 X", false },
+                           { "600 X", false },
+                           { "999 X", false },
+                           { "100 X\r\n\r\nHTTP/1.1 200 X", true },
+                           { "200 X", true },
+                           { "404 X", true },
+                           { "599 X", true } }));
+  CAPTURE(status);
+  Loop loop;
+  asio::basic_socket_acceptor<tcp, Executor> acceptor(
+    loop.context(), tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  loop.spawn([](auto& aAcceptor, std::string aText) -> asio::awaitable<void> {
+    auto socket = co_await aAcceptor.async_accept(asio::use_awaitable);
+    std::string received(1, ' ');
+    co_await asio::async_read(
+      socket, asio::buffer(received), asio::use_awaitable);
+    co_await asio::async_write(
+      socket, asio::buffer(aText), asio::use_awaitable);
+  }(acceptor, "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"));
+  ClientPool pool(loop, { "127.0.0.1", acceptor.local_endpoint().port() });
+  std::optional<Result<Response>> result;
+  loop.spawn(
+    [](Loop& aLoop,
+       ClientPool& aPool,
+       std::optional<Result<Response>>& aResult) -> asio::awaitable<void> {
+      aResult = co_await aPool.request(
+        Request{ beast::http::verb::get, "/", 11 }, seconds(2));
+      aLoop.stop();
+    }(loop, pool, result));
+  loop.run();
+  REQUIRE(result);
+  CHECK(static_cast<bool>(*result) == isFinal);
+  if (!*result) {
+    CHECK(result->failure().verdict == Verdict::MayHaveRun);
+  }
+}
