Connections: a peer that pauses while it reads a long message is not silent

Cause: TCP_USER_TIMEOUT, 2 s, also bounds the time for which the peer's receive window is full.

Ruled out: the bound of unread responses (30 s), the memory for clients.

Change: from when a message is longer than 4 KB, the time-out of its connection is that of unread responses and a little; shorter messages cannot fill a window, and a silent peer is noticed within two seconds as before. Likewise on connections to servers and in the client of agents, stewards and the store's watchers.

--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/gateway/context.hpp"
 #include "laburnum/http/body_progress.hpp"
+#include "laburnum/http/silence.hpp"
 
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -164,6 +165,7 @@
   std::shared_ptr<RequestForwarder> mForwarder;
   /// Keeps this object while a request is in progress, which points to it.
   std::shared_ptr<ClientConnection> mSelf;
+  http::SlowReading mSlowReading;
   std::string mWriteBuffer;
   std::size_t mWritten = 0; ///< Bytes of `mWriteBuffer` that were sent.
   std::string mPendingBytes;
--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "laburnum/contract/settings.hpp"
 #include "laburnum/http/server.hpp"
+#include "laburnum/http/silence.hpp"
 #include "laburnum/kernel/loop.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -97,6 +98,7 @@
   contract::Address mAddress;
   asio::basic_stream_socket<asio::ip::tcp, http::Executor> mSocket;
   asio::steady_timer mTimer;
+  http::SlowReading mSlowReading;
   http::beast::flat_buffer mBuffer;
   std::shared_ptr<http::Request> mRequest; ///< Shared with the pending write.
   std::optional<Parser> mParser;
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -1,7 +1,6 @@
 #include "laburnum/gateway/client_connection.hpp"
 
 #include "laburnum/gateway/request_forwarder.hpp"
-#include "laburnum/http/silence.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include "laburnum/kernel/hash.hpp"
--- a/gateway/src/client_connection_response.cpp
+++ b/gateway/src/client_connection_response.cpp
@@ -17,9 +17,6 @@
 /// Limit of the unsent bytes for a client that does not read; exceeding it
 /// aborts the response. Far above the size of the longest expected response.
 constexpr std::size_t kMaxPendingBytes = 1024 * 1024;
-/// Time after which a client that takes in nothing of its response is given up;
-/// a client that reads slowly takes in something every few seconds.
-constexpr Duration kUnreadTime = seconds(30);
 
 std::string
 formatSeconds(Duration aTime)
@@ -124,6 +121,7 @@
   mPendingBytes.clear();
   mWritten = 0;
   mProgressAt = mContext.loop.now();
+  mSlowReading.beforeSending(mSocket, mWriteBuffer.size());
   writeSome();
 }
 
@@ -222,7 +220,7 @@
 void
 ClientConnection::closeIfUnread()
 {
-  if (isUnread() && mContext.loop.now() - mProgressAt >= kUnreadTime) {
+  if (isUnread() && mContext.loop.now() - mProgressAt >= http::kMaxUnreadTime) {
     closeUnread();
   }
 }
@@ -232,6 +230,7 @@
 {
   mForwarder.reset();
   const auto self = std::move(mSelf);
+  mSlowReading.startMessage();
   mWriteBuffer = {};
   mRequestMemory = 0;
   mIsGivenUp = false;
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -1,6 +1,5 @@
 #include "laburnum/gateway/server_connection.hpp"
 
-#include "laburnum/http/silence.hpp"
 #include "leading_number.hpp"
 
 #include <boost/beast/http/read.hpp>
@@ -112,6 +111,8 @@
     mParser->skip(true);
   }
   mRequestSent = true;
+  mSlowReading.startMessage();
+  mSlowReading.beforeSending(mSocket, mRequest->body().size());
   bhttp::async_write(
     mSocket,
     *mRequest,
--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "laburnum/http/server.hpp"
+#include "laburnum/http/silence.hpp"
 #include "laburnum/kernel/result.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -41,6 +42,7 @@
   ClientPool& mPool;
   std::shared_ptr<std::set<Exchange*>> mExchanges;
   TcpStream mStream;
+  SlowReading mSlowReading;
   beast::flat_buffer mBuffer;
   std::unique_ptr<beast::http::response_parser<beast::http::buffer_body>>
     mParser;
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -1,6 +1,5 @@
 #include "laburnum/http/client.hpp"
 
-#include "laburnum/http/silence.hpp"
 
 #include <array>
 #include <boost/asio/redirect_error.hpp>
@@ -67,6 +66,7 @@
 {
   ErrorCode error;
   mStream.expires_after(aTimeout);
+  mSlowReading.beforeSending(mStream.socket(), aRequest.body().size());
   const std::size_t written = co_await bhttp::async_write(
     mStream, aRequest, redirect_error(use_awaitable, error));
   if (error) {
--- a/http/src/silence.cpp
+++ b/http/src/silence.cpp
@@ -12,6 +12,23 @@
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 2;
 constexpr int kUserTimeoutMs = 2000;
+/// A message of this size fits into the receive window of a peer that has read
+/// all former ones.
+constexpr std::size_t kWindowBytes = 4096;
+/// The owner of the connection gives up an unread one itself.
+constexpr int kSlowReadingTimeoutMs =
+  std::chrono::duration_cast<milliseconds>(kMaxUnreadTime).count() +
+  kUserTimeoutMs;
+
+void
+setUserTimeout(asio::basic_stream_socket<tcp, Executor>& aSocket, int aTimeMs)
+{
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &aTimeMs,
+               sizeof(int));
+}
 
 } // namespace
 
@@ -25,8 +42,18 @@
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(int));
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(int));
   ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(int));
-  ::setsockopt(
-    handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(int));
+  setUserTimeout(aSocket, kUserTimeoutMs);
+}
+
+void
+SlowReading::beforeSending(asio::basic_stream_socket<tcp, Executor>& aSocket,
+                           std::size_t aBytes)
+{
+  mMessageBytes += aBytes;
+  if (!mIsAllowed && mMessageBytes > kWindowBytes) {
+    mIsAllowed = true;
+    setUserTimeout(aSocket, kSlowReadingTimeoutMs);
+  }
 }
 
 } // namespace laburnum::http
--- a/http/tests/unit_http.cpp
+++ b/http/tests/unit_http.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <netinet/tcp.h>
 
 using namespace laburnum;
 using namespace laburnum::http;
@@ -210,3 +211,36 @@
     CHECK(result->failure().verdict == Verdict::MayHaveRun);
   }
 }
+
+// Guards against LOST: a peer that pauses while its receive window is full is
+// no silent one. The other side: peers of short messages are bounded as before.
+TEST_CASE("SlowReading, message longer than a window, outlasts the silence")
+{
+  using asio::ip::tcp;
+  Loop loop;
+  asio::basic_socket_acceptor<tcp, Executor> acceptor(
+    loop.context(), tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  asio::basic_stream_socket<tcp, Executor> socket(loop.context());
+  socket.connect(acceptor.local_endpoint());
+  const auto userTimeout = [&socket] {
+    int time = 0;
+    socklen_t size = sizeof(time);
+    ::getsockopt(
+      socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &time, &size);
+    return milliseconds(time);
+  };
+  boundSilence(socket);
+  CHECK(userTimeout() == seconds(2));
+  SlowReading slowReading;
+  for (int i = 0; i < 3; ++i) {
+    slowReading.startMessage();
+    slowReading.beforeSending(socket, 4000);
+    CHECK(userTimeout() == seconds(2));
+  }
+  slowReading.beforeSending(socket, 4000);
+  CHECK(userTimeout() > kMaxUnreadTime);
+  // Some of it may still be unread when the next message is sent.
+  slowReading.startMessage();
+  slowReading.beforeSending(socket, 10);
+  CHECK(userTimeout() > kMaxUnreadTime);
+}
