Streams: an answer with nothing left to send completes a resumed stream

A client that resumes by itself got 502.

Cause: a stream without an event was an invalid response, also where the request carried the ID of the last event.

Ruled out: an end that is not sent on because the stream had begun in another attempt.

Change: an answer without events is complete if the stream was resumed after an ID that is certain, and no server has sent a part of a further event or an invalid one.

Measured: gateway_streamBreaksAfterItsLastEvent_endsAsComplete failed before (6 checks), passes now; gateway_emptyAnswerWhereMoreIsToCome_completesNoStream passed before and passes now.

--- a/gateway/include/laburnum/gateway/event_splitter.hpp
+++ b/gateway/include/laburnum/gateway/event_splitter.hpp
@@ -42,7 +42,7 @@
 };
 
 /// Checks that event IDs are consecutive across all server attempts that make
-/// up one response.
+/// up one response, and knows whether it can be resumed.
 ///
 /// Thread safety: one thread per object.
 class EventSequence
@@ -51,6 +51,7 @@
   /// `aLastId` is the last ID that the client already received, if any.
   explicit EventSequence(std::optional<std::uint64_t> aLastId = {})
     : mLastId(aLastId)
+    , mIsConfirmed(aLastId.has_value())
   {
   }
 
@@ -58,6 +59,14 @@
   /// one. Events without an ID are always accepted.
   bool accept(const StreamEvent& aEvent);
 
+  /// True if the last event delivered has an ID, and that is certain to be its
+  /// own: the first one of a stream, or one that follows another. A stream
+  /// that is resumed after any other ID may lack events or repeat them.
+  bool canResume() const
+  {
+    return mLastId && mIsConfirmed && !mIsLastUnnumbered;
+  }
+
   /// The ID to resume after; empty if no event with an ID was delivered.
   std::optional<std::uint64_t> lastId() const { return mLastId; }
 
@@ -65,7 +74,12 @@
   std::size_t deliveredCount() const { return mDeliveredCount; }
 
 private:
+  /// Streams begin with an ID of 0 or 1.
+  static constexpr std::uint64_t kMaxFirstId = 1;
+
   std::optional<std::uint64_t> mLastId;
+  bool mIsConfirmed = false;
+  bool mIsLastUnnumbered = false; ///< The last event with data has no ID.
   std::size_t mDeliveredCount = 0;
 };
 
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -184,6 +184,8 @@
   EventSequence mEventSequence;
   bool mHasForwardedEvents = false; ///< In any attempt.
   bool mAttemptHasEvents = false;   ///< In the attempt in progress.
+  /// A server has sent a part of a further event, or one that was invalid.
+  bool mExpectsEvent = false;
   Instant mLastEventAt{};
   Duration mFirstEventDelay{ 0 };
   Duration mMaxGap{ 0 };
--- a/gateway/src/event_splitter.cpp
+++ b/gateway/src/event_splitter.cpp
@@ -50,7 +50,11 @@
     if (mLastId && *aEvent.id != *mLastId + 1) {
       return false;
     }
+    mIsConfirmed = mIsConfirmed || mLastId || *aEvent.id <= kMaxFirstId;
     mLastId = aEvent.id;
+    mIsLastUnnumbered = false;
+  } else if (aEvent.hasData()) {
+    mIsLastUnnumbered = true;
   }
   ++mDeliveredCount;
   return true;
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -179,6 +179,7 @@
   if (!accepted.empty()) {
     deliverEvents(std::move(accepted), hasProgress);
   }
+  mExpectsEvent = mExpectsEvent || !isConsecutive;
   return isConsecutive;
 }
 
@@ -187,6 +188,7 @@
 {
   const Instant now = mContext.loop.now();
   mAttemptHasEvents = true;
+  mExpectsEvent = false;
   // A stalled server may go on sending comments, or a byte now and then.
   if (aHasProgress) {
     mContext.selector.recordActivity(mServerId, now);
@@ -222,7 +224,8 @@
 RequestForwarder::classifyResponse() const
 {
   if (mIsEventStream) {
-    return mSplitter.hasPartialEvent() || !mAttemptHasEvents
+    const bool isNothingLeft = mEventSequence.canResume() && !mExpectsEvent;
+    return mSplitter.hasPartialEvent() || (!mAttemptHasEvents && !isNothingLeft)
              ? AttemptOutcome::InvalidResponse
              : AttemptOutcome::Completed;
   }
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -26,6 +26,8 @@
   }
   const auto connection = std::move(mConnection);
   mConnection = nullptr;
+  mExpectsEvent =
+    mExpectsEvent || (mIsEventStream && mSplitter.hasPartialEvent());
   const Instant now = mContext.loop.now();
   mContext.selector.requestEnded(
     mServerId, mDemand, aOutcome, now - mSentAt, now);
--- a/gateway/tests/unit_streams.cpp
+++ b/gateway/tests/unit_streams.cpp
@@ -119,3 +119,58 @@
   CHECK(isComplete(received));
   CHECK(fixture.requestCount() == 1);
 }
+
+// Guards against LOST: a sound server that has nothing left to send was taken
+// for a faulty one.
+TEST_CASE("gateway_streamBreaksAfterItsLastEvent_endsAsComplete")
+{
+  const std::string framing = GENERATE("chunked", "length", "neither");
+  CAPTURE(framing);
+  std::string nothing = framedStream(framing, "");
+  if (framing == "chunked") {
+    nothing = kEventStreamHead + "0\r\n\r\n";
+  }
+  const std::string broken =
+    kEventStreamHead + chunk(event(0) + event(1)) + "$RESET";
+  GatewayFixture two({ { broken }, { nothing } });
+  const std::string received = two.request("POST", "/events/x", "", "prompt");
+  CHECK(eventsOf(received) == event(0) + event(1));
+  CHECK(isComplete(received));
+  REQUIRE(two.servers[1]->requests.size() == 1);
+  CHECK(two.servers[1]->requests[0]["Last-Event-Id"] == "1");
+
+  // A client resumes the stream by itself.
+  GatewayFixture one({ { nothing } }, 1);
+  const std::string rest =
+    one.request("POST", "/events/x", "Last-Event-Id: 1\r\n", "prompt");
+  CHECK(statusOf(rest) == 200);
+  CHECK(eventsOf(rest).empty());
+}
+
+// The other side: an end without events completes no stream of which more is
+// known to come, or of which it is not known what the client has got.
+TEST_CASE("gateway_emptyAnswerWhereMoreIsToCome_completesNoStream")
+{
+  const std::string nothing = kEventStreamHead + "0\r\n\r\n";
+  const std::vector<std::string> begins = {
+    event(0) + event(1) + "id: 2\ndata: pie",
+    event(0) + event(1) + "id: 92\ndata: piece 2\n\n",
+    event(0) + event(1) + event(3),
+    // The ID of the first event is spoiled.
+    "id: 90\ndata: piece 0\n\n",
+    "id: 90\ndata: piece 0\n\n" + event(1),
+    // The ID of the last event is spoiled.
+    event(0) + "ix: 1\ndata: piece 1\n\n",
+  };
+  for (const std::string& begin : begins) {
+    CAPTURE(begin);
+    GatewayFixture fixture(
+      { { kEventStreamHead + chunk(begin) + "$RESET" }, { nothing } });
+    const std::string received =
+      fixture.request("POST", "/events/x", "", "prompt");
+    CHECK(eventsOf(received).starts_with(begin.substr(0, 5)));
+    CHECK_FALSE(isComplete(received));
+  }
+  GatewayFixture unasked({ { nothing } }, 1);
+  CHECK(statusOf(unasked.request("POST", "/events/x", "", "prompt")) == 502);
+}
