Streams: none is resumed after an ID that is not certain

What callers would see: a server spoils the ID of the first event, or the name of its field; the stream is resumed after the wrong ID, so that events are missing or come twice (ORDER).

Cause: an event without an ID, and any first ID, counted as a known position.

Change: a stream that has begun is resumed only after the ID of its last event with data, and only if that ID was given by the client, is 0 or 1 for a first event, or follows another one. Otherwise it is broken off and does not look complete.

--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -136,6 +136,9 @@
 RequestForwarder::decideNext(AttemptOutcome aOutcome)
 {
   execute(mRetryController->attemptEnded(aOutcome, remainingTime(), [this] {
+    if (mHasForwardedEvents && !mEventSequence.canResume()) {
+      return false; // Events would be missing or come twice.
+    }
     const bool isAllowed =
       mContext.retryBudget(mService->name).tryAcquire(mContext.loop.now());
     if (!isAllowed) {
@@ -149,6 +152,7 @@
 RequestForwarder::canResumeElsewhere() const
 {
   return !mFinished && mConnection && mDemand.isGeneration && isStream() &&
+         (!mHasForwardedEvents || mEventSequence.canResume()) &&
          remainingTime() >= kMinTimeToMigrate &&
          mRetryController->canMigrate(remainingTime());
 }
--- a/gateway/tests/unit_streams.cpp
+++ b/gateway/tests/unit_streams.cpp
@@ -174,3 +174,21 @@
   GatewayFixture unasked({ { nothing } }, 1);
   CHECK(statusOf(unasked.request("POST", "/events/x", "", "prompt")) == 502);
 }
+
+// Guards against ORDER: a stream was resumed after an ID that is not that of
+// the last event delivered.
+TEST_CASE("gateway_lastEventIsNotKnown_streamIsNotResumed")
+{
+  const std::string begin =
+    GENERATE(std::string("id: 5\ndata: piece 0\n\n") + "id: 1\ndata: x\n\n",
+             event(0) + "ix: 1\ndata: piece 1\n\n" + event(2));
+  CAPTURE(begin);
+  const std::string rest =
+    framedStream("chunked", event(1) + event(2) + event(3));
+  GatewayFixture fixture(
+    { { kEventStreamHead + chunk(begin) + "$RESET" }, { rest } });
+  const std::string received =
+    fixture.request("POST", "/events/x", "", "prompt");
+  CHECK_FALSE(isComplete(received));
+  CHECK(fixture.servers[1]->requests.empty());
+}
