Gateway: requests in progress end with the gateway

Cause: a request in progress and the connection to its server hold each other, and ~Gateway ended the ownership of the client's connection only.

Ruled out: nothing else was looked at.

Change: ClientConnection::release closes the server connection of the attempt in progress.

Measured: gateway_destroyedWithRequestInProgress_closesServerConnection failed before (the server's connection stays open), passes now.

--- a/gateway/include/laburnum/gateway/client_connection.hpp
+++ b/gateway/include/laburnum/gateway/client_connection.hpp
@@ -55,9 +55,9 @@
   /// Closes the connection without completing the response.
   void abort();
 
-  /// Ends the ownership of this object by its request in progress, for a
+  /// Ends the request in progress and its ownership of this object, for a
   /// gateway that is destroyed.
-  void release() { mSelf.reset(); }
+  void release();
 
   /// The request in progress, or null.
   std::shared_ptr<RequestForwarder> request() const { return mForwarder; }
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -48,6 +48,10 @@
   /// Ends the request as if its deadline had passed.
   void expire();
 
+  /// Closes the server connection of the attempt in progress, which keeps this
+  /// object, and decides nothing any more.
+  void release();
+
   /// Cancels the request after the client closed the connection.
   void clientDisconnected();
 
--- a/gateway/src/client_connection.cpp
+++ b/gateway/src/client_connection.cpp
@@ -450,6 +450,15 @@
   }
 }
 
+void
+ClientConnection::release()
+{
+  mSelf.reset();
+  if (mForwarder) {
+    mForwarder->release();
+  }
+}
+
 void
 ClientConnection::close()
 {
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -6,6 +6,7 @@
 #include "leading_number.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace laburnum::gateway {
 namespace {
@@ -365,6 +366,17 @@
   }
 }
 
+void
+RequestForwarder::release()
+{
+  mFinished = true;
+  mTimer.cancel();
+  mAttemptTimer.cancel();
+  if (const auto connection = std::exchange(mConnection, nullptr)) {
+    connection->abort();
+  }
+}
+
 void
 RequestForwarder::clientDisconnected()
 {
--- a/gateway/tests/unit_gateway.cpp
+++ b/gateway/tests/unit_gateway.cpp
@@ -246,6 +246,47 @@
   CHECK(fixture.servers[0]->isConnectionClosed);
 }
 
+// Guards against a leak: a request in progress and its server connection kept
+// each other when the gateway was destroyed.
+TEST_CASE("gateway_destroyedWithRequestInProgress_closesServerConnection")
+{
+  GatewayFixture fixture(
+    { { kEventStreamHead + chunk("id: 1\ndata: a\n\n: $HANG\n") } });
+  auto gateway =
+    std::make_unique<Gateway>(fixture.loop, fixture.settings, HeaderNames{});
+  gateway->start();
+  gateway->applyConfiguration(*fixture.gateway.context().configuration);
+  gateway->replaceServers(fixture.records());
+  std::string received;
+  fixture.loop.spawn([](Loop& aLoop,
+                        contract::Address aGateway,
+                        std::string& aReceived) -> asio::awaitable<void> {
+    Socket socket(aLoop.context());
+    co_await socket.async_connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), aGateway.port),
+      use_awaitable);
+    co_await asio::async_write(
+      socket,
+      asio::buffer(std::string("GET /events/x HTTP/1.1\r\nHost: h\r\n\r\n")),
+      use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_read(socket,
+                              asio::dynamic_buffer(aReceived),
+                              redirect_error(use_awaitable, error));
+  }(fixture.loop, gateway->clientAddress(), received));
+  fixture.loop.spawn(
+    stopWhen(fixture.loop, [&received] { return !received.empty(); }));
+  fixture.loop.run();
+  fixture.loop.context().restart();
+  gateway.reset();
+  fixture.loop.spawn([](Loop& aLoop) -> asio::awaitable<void> {
+    co_await aLoop.sleep(milliseconds(100));
+    aLoop.stop();
+  }(fixture.loop));
+  fixture.loop.run();
+  CHECK(fixture.servers[0]->isConnectionClosed);
+}
+
 TEST_CASE("gateway_stopGracefully_closesConnectionsAndStopsLoop")
 {
   GatewayFixture fixture({ { response(200, kSignatureField, "x") } });
