--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -1,6 +1,5 @@
 #include "laburnum/http/client.hpp"
 
-
 #include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
