Responses: an end of the stream after a failed write is no complete body

Streams ended as complete.

Cause: the system reports a reset once. Asio runs the waiting write before the waiting read, so the write gets it; its error was dropped, and the read gets the end of the stream, which completes a body without a length.

Evidence: system calls of the test: sendmsg = ECONNRESET, then recvfrom = 0.

Ruled out: that any reset does it (with the upload read whole, recvfrom = ECONNRESET and the client gets 502, before as now); that the part is passed on before the end is known.

Change: the connection keeps the error of the write. The end of the stream completes a body only if no write failed or it failed with a broken pipe, which needs a close in order before it; so a whole answer passes also if a reset follows its end. Answers with a length or in chunks are complete by their framing, as before.

--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -111,6 +111,7 @@
   bool mOpen = false;
   bool mRequestSent = false;
   bool mWriteDone = false;
+  ErrorCode mWriteError;     ///< Of the request in progress.
   int mInterimResponses = 0; ///< Before the final one.
   bool mReusable = false;
   bool mAborted = false;
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -42,6 +42,16 @@
          aError == bhttp::error::partial_message;
 }
 
+/// True if a write failed although the server had not closed the connection in
+/// order. The system reports a reset or a time-out once: a read after such a
+/// write gets the end of the stream. After an orderly close, writes fail with a
+/// broken pipe.
+bool
+isBroken(boost::system::error_code aWriteError)
+{
+  return aWriteError && aWriteError != asio::error::broken_pipe;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(Loop& aLoop, contract::Address aAddress)
@@ -63,6 +73,7 @@
   mReusable = false;
   mRequestSent = false;
   mWriteDone = false;
+  mWriteError = {};
   mInterimResponses = 0;
   mOnIdleClosed = nullptr;
   ++mGeneration;
@@ -117,9 +128,10 @@
     mSocket,
     *mRequest,
     [self, generation, request = mRequest](ErrorCode aError, std::size_t) {
-      // A failed write is reported by the read, which may still get a response.
-      if (generation == self->mGeneration && !aError) {
-        self->mWriteDone = true;
+      // After a failed write, a response may still be read.
+      if (generation == self->mGeneration) {
+        self->mWriteDone = !aError;
+        self->mWriteError = aError;
       }
     });
   readHead();
@@ -190,6 +202,10 @@
       if (self->mAborted) {
         return;
       }
+      if (!aError && self->mParser->is_done() && self->mParser->need_eof() &&
+          isBroken(self->mWriteError)) {
+        aError = self->mWriteError;
+      }
       if (aError) {
         self->fail(aError);
         return;
--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -59,14 +59,16 @@
   {
     http::beast::flat_buffer buffer;
     for (;;) {
-      http::Request request;
+      bhttp::request_parser<bhttp::string_body> parser;
+      parser.body_limit(boost::none);
       boost::system::error_code error;
       co_await bhttp::async_read(
-        aSocket, buffer, request, redirect_error(use_awaitable, error));
+        aSocket, buffer, parser, redirect_error(use_awaitable, error));
       if (error) {
         isConnectionClosed = true;
         co_return;
       }
+      const http::Request request = parser.release();
       std::string text = mTexts[std::min(requests.size(), mTexts.size() - 1)];
       requests.push_back(request);
       const std::size_t at = text.find("$ID");
