Tests: broken answers of a service through an agent and an entry

A stand-in service sends answers that are reset on the way, have status 000, a field name with a blank or a folded line, and whole ones.

--- a/apps/tests/live.sh
+++ b/apps/tests/live.sh
@@ -2,9 +2,10 @@
 # Failure tests of running daemons; usage: live.sh BUILD SOURCE CASE.
 set -euo pipefail
 build=$1
+source=$2
 work=$(mktemp -d)
 # shellcheck source=scripts/lib.sh
-. "$2/scripts/lib.sh"
+. "$source/scripts/lib.sh"
 export LABURNUM_PLATFORM
 key="Authorization: Bearer test-key"
 
@@ -343,5 +344,35 @@
   secure || fail "no answer after a broken certificate"
 }
 
+# A service sends broken answers through an agent and an entry: no caller gets
+# one as an answer. The other side: whole answers are passed on.
+broken_answers() {
+  standin platform platform
+  LABURNUM_PLATFORM=$(address platform)
+  "$source/apps/tests/broken_service.py" >"$work/visits.address" 2>"$work/visits.log" &
+  pids+=($!)
+  until [ -s "$work/visits.address" ]; do sleep 0.02; done
+  daemon agent-1 agent a "{\"kind\":\"plain\",\"address\":\"$(address visits)\",\"offers\":[\"visits\"]}"
+  daemon entry-1 entry a
+  label="sha256:$(printf test-key | openssl dgst -sha256 -r | cut -d' ' -f1)"
+  echo "{\"account\":\"t\",\"services\":[\"visits\"],\"keys\":[\"$label\"]}" >"$work/contract.json"
+  "$build/apps/laburnumctl" contract apply "$work/contract.json" >/dev/null
+  "$build/apps/laburnumctl" rollout --wait contract t >/dev/null
+  await 20 agents_are entry-1 1
+  head -c 900000 /dev/zero >"$work/upload"
+  call() { curl -s -i -m 30 "http://$(callers entry-1)/services/visits/$1" -H "$key" --data-binary "@$work/upload" | tr -d '\r'; }
+  for answer in whole-close whole-length whole-chunked; do
+    call "$answer" >"$work/received"
+    grep -q '^HTTP/1.1 200' "$work/received" || fail "$answer: no answer"
+    [ "$(tail -n 1 "$work/received")" = body ] || fail "$answer: not the whole body"
+  done
+  for answer in reset status name folded folded-interim folded-trailer; do
+    call "$answer" >"$work/received"
+    grep -q '^HTTP/1.1 5' "$work/received" || fail "$answer: not a failure"
+    ! grep -q spoiled "$work/received" || fail "$answer: was passed on"
+    grep -q '^Laburnum-Verdict: may_have_run' "$work/received" || fail "$answer: another verdict"
+  done
+}
+
 "$3"
 echo "$3: good"
