--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -16,6 +16,14 @@
 using asio::ip::tcp;
 using Socket = ClientConnection::Socket;
 
+/// A scripted text with the attempt ID in place of `$ID`.
+inline std::string
+withAttemptId(std::string aText, std::string_view aId)
+{
+  const std::size_t at = aText.find("$ID");
+  return at == std::string::npos ? aText : aText.replace(at, 3, aId);
+}
+
 /// A backend server that sends scripted bytes, one text per request, and stores
 /// the requests it receives. `$ID` is replaced by the attempt ID. The
 /// connection stays open after a text with `Content-Length` or `$HANG`, and is
@@ -69,12 +77,10 @@
         co_return;
       }
       const http::Request request = parser.release();
-      std::string text = mTexts[std::min(requests.size(), mTexts.size() - 1)];
+      std::string text =
+        withAttemptId(mTexts[std::min(requests.size(), mTexts.size() - 1)],
+                      request["Laburnum-Attempt"]);
       requests.push_back(request);
-      const std::size_t at = text.find("$ID");
-      if (at != std::string::npos) {
-        text.replace(at, 3, std::string(request["Laburnum-Attempt"]));
-      }
       if (workTime > Duration(0)) {
         co_await mLoop.sleep(workTime);
       }
@@ -146,11 +152,8 @@
     boost::system::error_code error;
     co_await bhttp::async_read(
       aSocket, buffer, request, redirect_error(use_awaitable, error));
-    std::string begin = mBegin;
-    const std::size_t at = begin.find("$ID");
-    if (at != std::string::npos) {
-      begin.replace(at, 3, std::string(request["Laburnum-Attempt"]));
-    }
+    const std::string begin =
+      withAttemptId(mBegin, request["Laburnum-Attempt"]);
     co_await asio::async_write(
       aSocket, asio::buffer(begin), redirect_error(use_awaitable, error));
     while (!error) {
--- a/gateway/tests/unit_broken_answers.cpp
+++ b/gateway/tests/unit_broken_answers.cpp
@@ -16,7 +16,7 @@
 /// How a server ends the connection of an early answer.
 enum class Ending
 {
-  Reset,              ///< Nothing tells the end of the answer.
+  Reset,              ///< Without an orderly end.
   ResetAtOnce,        ///< Together with the answer.
   Close,              ///< In order; the rest of the upload is read.
   CloseThenReset,     ///< In order; the reset follows.
@@ -64,12 +64,6 @@
     }
   }
 
-  static std::string textFor(std::string aText, std::string_view aId)
-  {
-    const std::size_t at = aText.find("$ID");
-    return at == std::string::npos ? aText : aText.replace(at, 3, aId);
-  }
-
   asio::awaitable<void> serve(Socket aSocket)
   {
     http::beast::flat_buffer buffer;
@@ -85,7 +79,7 @@
       const std::string id(parser.get()["Laburnum-Attempt"]);
       if (parser.content_length().value_or(0) < kUploadBytes) {
         const std::string text =
-          textFor(response(200, kSignatureField, "short"), id);
+          withAttemptId(response(200, kSignatureField, "short"), id);
         co_await asio::async_write(
           aSocket, asio::buffer(text), redirect_error(use_awaitable, error));
         continue;
@@ -97,7 +91,7 @@
                        ' ');
       co_await asio::async_read(
         aSocket, asio::buffer(part), redirect_error(use_awaitable, error));
-      const std::string text = textFor(mAnswer, id);
+      const std::string text = withAttemptId(mAnswer, id);
       // The gateway, in the same thread, does not run within this statement, so
       // that what ends the connection at once arrives with the answer.
       asio::write(aSocket, asio::buffer(text), error);
@@ -273,7 +267,7 @@
 }
 
 // The other side: an answer without a length that ends in order is whole, also
-// if a reset follows; one whose end is told needs no end of the connection.
+// if a reset follows; one with a length or in chunks is whole by itself.
 TEST_CASE("gateway_wholeAnswerDuringUpload_isPassedOn")
 {
   struct Row
--- a/http/include/laburnum/http/response_reader.hpp
+++ b/http/include/laburnum/http/response_reader.hpp
@@ -83,6 +83,7 @@
   }
 
 private:
+  /// Limit of one read.
   static constexpr std::size_t kMaxReceivedBytes = 64 * 1024;
 
   /// Parses what was received; no result if more is needed.
