--- a/apps/tests/broken_service.py
+++ b/apps/tests/broken_service.py
@@ -22,7 +22,7 @@
 async def serve(reader, writer):
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     name = head.split()[1].rsplit("/", 1)[1]
-    if name == "reset":  # while the request is still being written
+    if name == "reset":  # before the body is read; the agent may have written all of it
         writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     else:
         length = [line.split(":")[1] for line in head.split("\r\n") if line.lower().startswith("content-length")]
