Streams: a first ID is certain only by its second event or by other streams

Cause: a first ID of 0 or 1 counted as certain by itself. Log of the case on: attempt_ended "event ID not consecutive", events 1, last_event 1, and the next server was asked for the rest after 1.

Ruled out: the resuming server (it sends all events after the ID it is given); the contradicting event taken for the last one (the request has the ID of the first event).

Change: the first ID is certain if the second event of the same server follows it. Otherwise it must be one with which streams of the service begin, as seen from confirmed ones, and the only one if the second ID would be right after another first ID. Sound streams that are cut after the first event, with 0 and with 1, are resumed as before.

--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -4,6 +4,7 @@
 #include "laburnum/gateway/connection_pool.hpp"
 #include "laburnum/gateway/crash_suspicions.hpp"
 #include "laburnum/gateway/drain_policy.hpp"
+#include "laburnum/gateway/event_splitter.hpp"
 #include "laburnum/gateway/group_admission.hpp"
 #include "laburnum/gateway/group_choice.hpp"
 #include "laburnum/gateway/group_directory.hpp"
@@ -79,7 +80,8 @@
   /// For bytes that a connection has just received, before they are parsed.
   std::vector<char> receiveBuffer;
   RetryBudgetOptions retryBudgetOptions;
-  std::map<std::string, RetryBudget> retryBudgets; ///< By service.
+  std::map<std::string, RetryBudget> retryBudgets;    ///< By service.
+  std::map<std::string, FirstEventIds> firstEventIds; ///< By service.
   std::map<GroupKey, GroupAdmission> admissions;
   Random random{ entropySeed() };
   GroupDirectory directory;
--- a/gateway/include/laburnum/gateway/event_splitter.hpp
+++ b/gateway/include/laburnum/gateway/event_splitter.hpp
@@ -2,6 +2,8 @@
 
 #include "laburnum/http/sse.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +43,41 @@
   http::EventCutter mCutter;
 };
 
+/// The IDs with which the streams of a service begin, 0 or 1, as far as known
+/// from streams whose second event confirmed the first one.
+///
+/// Thread safety: one thread per object.
+class FirstEventIds
+{
+public:
+  static constexpr std::uint64_t kMaxId = 1;
+
+  /// Records that a stream began with an ID. IDs above 1 are not kept.
+  void record(std::uint64_t aId)
+  {
+    if (aId <= kMaxId) {
+      mIsKnown[aId] = true;
+    }
+  }
+
+  /// True if a stream may begin with the ID.
+  bool isPossible(std::uint64_t aId) const
+  {
+    return aId <= kMaxId &&
+           (mIsKnown[aId] || std::ranges::count(mIsKnown, true) == 0);
+  }
+
+  /// True if all streams known begin with the ID, and one at least does.
+  bool isCertain(std::uint64_t aId) const
+  {
+    return aId <= kMaxId && mIsKnown[aId] &&
+           std::ranges::count(mIsKnown, true) == 1;
+  }
+
+private:
+  std::array<bool, kMaxId + 1> mIsKnown{};
+};
+
 /// Checks that event IDs are consecutive across all server attempts that make
 /// up one response, and knows whether it can be resumed.
 ///
@@ -55,16 +92,27 @@
   {
   }
 
+  /// Called when another server begins to send the rest of the events.
+  void startAttempt() { mAttemptHasId = false; }
+
   /// Returns true and counts the event as delivered if its ID follows the last
   /// one. Events without an ID are always accepted.
   bool accept(const StreamEvent& aEvent);
 
   /// True if the last event delivered has an ID, and that is certain to be its
-  /// own: the first one of a stream, or one that follows another. A stream
-  /// that is resumed after any other ID may lack events or repeat them.
-  bool canResume() const
+  /// own. A stream that is resumed after any other ID may lack events or repeat
+  /// them.
+  ///
+  /// An ID that follows another one is certain. That of the first event may be
+  /// wrong: it has to be one with which streams of the service begin, and the
+  /// only one if the next ID would be right after another first one.
+  bool canResume(const FirstEventIds& aFirstIds) const;
+
+  /// The ID with which the stream began, once an event of the same server has
+  /// confirmed it.
+  std::optional<std::uint64_t> confirmedFirstId() const
   {
-    return mLastId && mIsConfirmed && !mIsLastUnnumbered;
+    return mConfirmedFirstId;
   }
 
   /// The ID to resume after; empty if no event with an ID was delivered.
@@ -74,12 +122,16 @@
   std::size_t deliveredCount() const { return mDeliveredCount; }
 
 private:
-  /// Streams begin with an ID of 0 or 1.
-  static constexpr std::uint64_t kMaxFirstId = 1;
+  /// Takes the ID of an event that follows the last one.
+  void acceptId(std::uint64_t aId);
 
   std::optional<std::uint64_t> mLastId;
-  bool mIsConfirmed = false;
+  std::optional<std::uint64_t> mConfirmedFirstId;
+  bool mIsConfirmed = false;      ///< Another ID led to `mLastId`.
+  bool mIsContradicted = false;   ///< By an ID that may be right.
+  bool mAttemptHasId = false;     ///< The server has sent `mLastId`.
   bool mIsLastUnnumbered = false; ///< The last event with data has no ID.
+  bool mHasUnnumbered = false;    ///< Any event with data has none.
   std::size_t mDeliveredCount = 0;
 };
 
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -80,6 +80,9 @@
   /// Ends the attempt in progress and sends the stream to another server.
   void resumeElsewhere(const ServerRecord& aServer, AttemptOutcome aOutcome);
   bool canResumeElsewhere() const;
+  /// True if the stream goes on where the events delivered end, if its rest is
+  /// asked for.
+  bool canResumeStream() const;
   /// Counts the stream at the server of its present attempt.
   void placeStream(Instant aNow);
   void unplaceStream();
--- a/gateway/src/event_splitter.cpp
+++ b/gateway/src/event_splitter.cpp
@@ -21,6 +21,12 @@
   return id;
 }
 
+bool
+isPossibleSecondId(std::uint64_t aId)
+{
+  return aId > 0 && aId - 1 <= FirstEventIds::kMaxId;
+}
+
 } // namespace
 
 bool
@@ -48,16 +54,40 @@
 {
   if (aEvent.id) {
     if (mLastId && *aEvent.id != *mLastId + 1) {
+      mIsContradicted = mIsContradicted || isPossibleSecondId(*aEvent.id);
       return false;
     }
-    mIsConfirmed = mIsConfirmed || mLastId || *aEvent.id <= kMaxFirstId;
-    mLastId = aEvent.id;
-    mIsLastUnnumbered = false;
+    acceptId(*aEvent.id);
   } else if (aEvent.hasData()) {
     mIsLastUnnumbered = true;
+    mHasUnnumbered = true;
   }
   ++mDeliveredCount;
   return true;
 }
 
+void
+EventSequence::acceptId(std::uint64_t aId)
+{
+  // Another server goes on after whatever ID it is given, so only two events of
+  // one server confirm each other.
+  if (mLastId && !mIsConfirmed && mAttemptHasId && !mHasUnnumbered) {
+    mConfirmedFirstId = mLastId;
+  }
+  mIsConfirmed = mLastId.has_value();
+  mLastId = aId;
+  mAttemptHasId = true;
+  mIsLastUnnumbered = false;
+}
+
+bool
+EventSequence::canResume(const FirstEventIds& aFirstIds) const
+{
+  if (!mLastId || mIsLastUnnumbered) {
+    return false;
+  }
+  return mIsConfirmed || (mIsContradicted ? aFirstIds.isCertain(*mLastId)
+                                          : aFirstIds.isPossible(*mLastId));
+}
+
 } // namespace laburnum::gateway
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -175,6 +175,9 @@
     hasProgress = hasProgress || event.hasData();
     accepted += event.bytes;
   }
+  if (const auto firstId = mEventSequence.confirmedFirstId()) {
+    mContext.firstEventIds[mService->name].record(*firstId);
+  }
   // Accepted events are delivered even if an invalid one follows them: the
   // stream is resumed after the last one accepted.
   if (!accepted.empty()) {
@@ -225,7 +228,7 @@
 RequestForwarder::classifyResponse() const
 {
   if (mIsEventStream) {
-    const bool isNothingLeft = mEventSequence.canResume() && !mExpectsEvent;
+    const bool isNothingLeft = canResumeStream() && !mExpectsEvent;
     return mSplitter.hasPartialEvent() || (!mAttemptHasEvents && !isNothingLeft)
              ? AttemptOutcome::InvalidResponse
              : AttemptOutcome::Completed;
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -136,7 +136,7 @@
 RequestForwarder::decideNext(AttemptOutcome aOutcome)
 {
   execute(mRetryController->attemptEnded(aOutcome, remainingTime(), [this] {
-    if (mHasForwardedEvents && !mEventSequence.canResume()) {
+    if (mHasForwardedEvents && !canResumeStream()) {
       return false; // Events would be missing or come twice.
     }
     const bool isAllowed =
@@ -148,11 +148,17 @@
   }));
 }
 
+bool
+RequestForwarder::canResumeStream() const
+{
+  return mEventSequence.canResume(mContext.firstEventIds[mService->name]);
+}
+
 bool
 RequestForwarder::canResumeElsewhere() const
 {
   return !mFinished && mConnection && mDemand.isGeneration && isStream() &&
-         (!mHasForwardedEvents || mEventSequence.canResume()) &&
+         (!mHasForwardedEvents || canResumeStream()) &&
          remainingTime() >= kMinTimeToMigrate &&
          mRetryController->canMigrate(remainingTime());
 }
--- a/gateway/src/request_forwarder_dispatch.cpp
+++ b/gateway/src/request_forwarder_dispatch.cpp
@@ -205,6 +205,7 @@
   mAttemptHasEvents = false;
   mResponse = {};
   mSplitter = {};
+  mEventSequence.startAttempt();
   if (mRoute->type == RouteType::Idempotent) {
     const Duration attemptTimeout =
       fromSeconds(toSeconds(mRoute->latencyObjective) * kAttemptTimeoutFactor);
--- a/gateway/tests/gateway_fixture.hpp
+++ b/gateway/tests/gateway_fixture.hpp
@@ -27,7 +27,8 @@
 /// A backend server that sends scripted bytes, one text per request, and stores
 /// the requests it receives. `$ID` is replaced by the attempt ID. The
 /// connection stays open after a text with `Content-Length` or `$HANG`, and is
-/// reset after a text that ends with `$RESET`.
+/// reset after a text that ends with `$RESET`. A function may take the place of
+/// the texts.
 class ScriptedServer
 {
 public:
@@ -52,6 +53,7 @@
   std::size_t connections = 0;
   bool isConnectionClosed = false;
   Duration workTime{ 0 }; ///< Until a request is answered.
+  std::function<std::string(const http::Request&)> answer;
 
 private:
   asio::awaitable<void> accept()
@@ -77,9 +79,10 @@
         co_return;
       }
       const http::Request request = parser.release();
-      std::string text =
-        withAttemptId(mTexts[std::min(requests.size(), mTexts.size() - 1)],
-                      request["Laburnum-Attempt"]);
+      std::string text = withAttemptId(
+        answer ? answer(request)
+               : mTexts[std::min(requests.size(), mTexts.size() - 1)],
+        request["Laburnum-Attempt"]);
       requests.push_back(request);
       if (workTime > Duration(0)) {
         co_await mLoop.sleep(workTime);
