Streams: only events that clients take for one event with its data are passed on

Cause: the gateway did not read the format as clients do. It took the first ID of an event and looked at no other line, and did not end lines at a CR. Log of the case on: "event ID not consecutive", last_event 3, behind an event with the IDs 3 and 4.

Ruled out: two IDs alone; an event whose data line is spoiled, an ID and its data in one line, a blank line changed to a letter, and lines that end with CR failed as well.

Change: an event has one ID at most, data if it has an ID, and its data in one place; lines end with LF, CR LF or CR; an ID is a number only as a whole. What is refused is not counted, so streams are resumed after what clients have got.

--- a/gateway/include/laburnum/gateway/event_splitter.hpp
+++ b/gateway/include/laburnum/gateway/event_splitter.hpp
@@ -12,17 +12,32 @@
 
 namespace laburnum::gateway {
 
-/// A complete server-sent event, unmodified, and its ID if that is numeric.
+/// A complete server-sent event, unmodified, and what it says.
 struct StreamEvent
 {
-  std::optional<std::uint64_t> id;
+  std::optional<std::uint64_t> id; ///< If it has one that is a number.
   std::string bytes;
+  bool hasDataLines = false;
+  bool hasOtherId = false; ///< It has an ID that is not a number.
+  /// False if a client would not take it for exactly one event with its data:
+  /// the event itself or the end of the one before it was changed on its way,
+  /// or by a faulty server. A sound event
+  ///
+  /// - has one ID at most;
+  /// - has data if it has an ID or a field that is not of the format;
+  /// - has its data in consecutive lines, behind which no line follows that is
+  ///   a field of the format but for one byte before it.
+  bool isSound = true;
 
   /// False for comments and blank lines, which a server may send without
   /// making progress.
-  bool hasData() const;
+  bool hasData() const { return id || hasDataLines; }
 };
 
+/// Parses one event with its blank line. Complexity: linear.
+StreamEvent
+parseEvent(std::string aBytes);
+
 /// Splits a byte stream into complete server-sent events. An incomplete event,
 /// such as the last one of a server that crashed, is never returned.
 ///
@@ -95,8 +110,9 @@
   /// Called when another server begins to send the rest of the events.
   void startAttempt() { mAttemptHasId = false; }
 
-  /// Returns true and counts the event as delivered if its ID follows the last
-  /// one. Events without an ID are always accepted.
+  /// Returns true and counts the event as delivered if it is sound and its ID
+  /// follows the last one. Sound events without an ID are always accepted, and
+  /// those with an ID that is no number as long as none had a number.
   bool accept(const StreamEvent& aEvent);
 
   /// True if the last event delivered has an ID, and that is certain to be its
--- a/gateway/src/event_splitter.cpp
+++ b/gateway/src/event_splitter.cpp
@@ -1,24 +1,44 @@
 #include "laburnum/gateway/event_splitter.hpp"
 
-#include "leading_number.hpp"
-
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 namespace laburnum::gateway {
 namespace {
 
+/// Fields of the format. Others are ignored by clients.
+constexpr std::array<std::string_view, 4> kFieldNames = { "data",
+                                                          "event",
+                                                          "id",
+                                                          "retry" };
+
+bool
+isOfFormat(std::string_view aName)
+{
+  return std::ranges::find(kFieldNames, aName) != kFieldNames.end();
+}
+
+/// True if the line is a field of the format behind one byte, to which the
+/// blank line before it was changed.
+bool
+isFieldBehindLostBlankLine(const http::EventField& aField)
+{
+  const auto fields = http::eventFields(aField.line.substr(1));
+  return !fields.empty() && isOfFormat(fields.front().name);
+}
+
+/// The number that is the whole text, as a server writes it.
 std::optional<std::uint64_t>
-eventId(std::string_view aEvent)
+wholeNumber(std::string_view aText)
 {
-  std::optional<std::uint64_t> id;
-  http::eachField(aEvent, "id", [&id](std::string_view aValue) {
-    aValue.remove_prefix(
-      std::min(aValue.find_first_not_of(' '), aValue.size()));
-    if (!id) {
-      id = leadingNumber<std::uint64_t>(aValue);
-    }
-  });
-  return id;
+  std::uint64_t number = 0;
+  const char* const textEnd = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), textEnd, number);
+  const bool isPadded = aText.size() > 1 && aText.front() == '0';
+  return error == std::errc() && end == textEnd && !isPadded
+           ? std::optional(number)
+           : std::nullopt;
 }
 
 bool
@@ -29,13 +49,32 @@
 
 } // namespace
 
-bool
-StreamEvent::hasData() const
+StreamEvent
+parseEvent(std::string aBytes)
 {
-  bool hasData = id.has_value();
-  http::eachField(
-    bytes, "data", [&hasData](std::string_view) { hasData = true; });
-  return hasData;
+  StreamEvent event{ .bytes = std::move(aBytes) };
+  std::size_t ids = 0;
+  bool hasForeignField = false;
+  bool hasDataEnded = false;
+  for (const http::EventField& field : http::eventFields(event.bytes)) {
+    const bool isData = field.name == "data";
+    if ((isData && hasDataEnded) ||
+        (event.hasDataLines && isFieldBehindLostBlankLine(field))) {
+      event.isSound = false;
+    }
+    hasDataEnded = event.hasDataLines && !isData;
+    event.hasDataLines = event.hasDataLines || isData;
+    hasForeignField =
+      hasForeignField || (!field.name.empty() && !isOfFormat(field.name));
+    if (field.name == "id") {
+      ++ids;
+      event.id = wholeNumber(field.value);
+      event.hasOtherId = !event.id;
+    }
+  }
+  event.isSound = event.isSound && ids <= 1 &&
+                  (event.hasDataLines || (ids == 0 && !hasForeignField));
+  return event;
 }
 
 std::vector<StreamEvent>
@@ -43,8 +82,7 @@
 {
   std::vector<StreamEvent> events;
   for (std::string& bytes : mCutter.add(aBytes)) {
-    const auto id = eventId(bytes);
-    events.push_back({ .id = id, .bytes = std::move(bytes) });
+    events.push_back(parseEvent(std::move(bytes)));
   }
   return events;
 }
@@ -52,6 +90,9 @@
 bool
 EventSequence::accept(const StreamEvent& aEvent)
 {
+  if (!aEvent.isSound || (aEvent.hasOtherId && mLastId)) {
+    return false;
+  }
   if (aEvent.id) {
     if (mLastId && *aEvent.id != *mLastId + 1) {
       mIsContradicted = mIsContradicted || isPossibleSecondId(*aEvent.id);
--- a/gateway/tests/resumable_streams.hpp
+++ b/gateway/tests/resumable_streams.hpp
@@ -16,6 +16,8 @@
 
   int firstId = 0;
   std::string lineEnd = "\n";
+  std::string space = " ";     ///< Behind the colon of a field.
+  std::string text = "piece "; ///< Of each piece, before its number.
 
   /// What a client has got when it has all events.
   std::vector<std::string> pieces() const
@@ -34,8 +36,8 @@
 
   std::string event(int aPiece, int aId) const
   {
-    return "id: " + std::to_string(aId) + lineEnd + "data: " + piece(aPiece) +
-           lineEnd + lineEnd;
+    return "id:" + space + std::to_string(aId) + lineEnd + "data:" + space +
+           piece(aPiece) + lineEnd + lineEnd;
   }
 
   /// Some of the events, each in a chunk of its own.
@@ -57,10 +59,7 @@
   }
 
 private:
-  static std::string piece(int aPiece)
-  {
-    return "piece " + std::to_string(aPiece);
-  }
+  std::string piece(int aPiece) const { return text + std::to_string(aPiece); }
 };
 
 /// The bytes in the chunks of a response.
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -290,6 +290,56 @@
   }
 }
 
+TEST_CASE("event_splitter_event_isSoundIfClientsTakeItForOneWithItsData")
+{
+  const std::vector<std::string> sound = {
+    "id: 3\ndata: x\n\n",
+    "data: x\nid: 3\n\n",
+    "version: 2\nid: 3\nevent: e\ndata: x\ndata: y\nretry: 5\n: c\n\n",
+    "data\n\n",
+    "id: three\ndata: x\n\n",
+    "id: 3\ndata: x\n line\nxyz: 4\n\n",
+    "event: ping\n\n",
+    "retry: 10\n\n",
+    ": c\n\n",
+    "\n",
+  };
+  const std::vector<std::string> unsound = {
+    "id: 3\ndata: x\nid: 4\ndata: y\n\n",  // Two events.
+    "id: 3\ndata: x\nxid: 4\ndata: y\n\n", // Two, the second ID spoiled.
+    "id: 3\ndata: x\n:id: 4\ndata: y\n\n", // The same.
+    "id: 3\ndata: x\nxdata: [DONE]\n\n",   // Two, the second has no ID.
+    "data: x\n:data: y\n\n",               // Two without IDs.
+    "id: 3\n\n",                           // Its data is another event.
+    "id: 3\ndta: x\n\n",
+    "dta: x\n\n",
+    "id: 3data: x\n\n",
+    "id\n\n",
+  };
+  for (const std::string& bytes : sound) {
+    CAPTURE(bytes);
+    CHECK(parseEvent(bytes).isSound);
+  }
+  for (const std::string& bytes : unsound) {
+    CAPTURE(bytes);
+    CHECK_FALSE(parseEvent(bytes).isSound);
+  }
+}
+
+TEST_CASE("event_sequence_idIsNoNumber_isRefusedBehindNumbers")
+{
+  for (const char* const id : { "3x", "", "-1", " 1", "01", "\t1", "1 " }) {
+    CAPTURE(id);
+    const StreamEvent event =
+      parseEvent("id: " + std::string(id) + "\ndata: x\n\n");
+    EventSequence numbered(0);
+    CHECK_FALSE(numbered.accept(event));
+    EventSequence other;
+    CHECK(other.accept(event));
+    CHECK_FALSE(other.canResume({}));
+  }
+}
+
 TEST_CASE("event_sequence_resumedStream_acceptsNoGapAndNoDuplicate")
 {
   EventSequence sequence;
--- a/http/include/laburnum/http/sse.hpp
+++ b/http/include/laburnum/http/sse.hpp
@@ -7,15 +7,18 @@
 namespace laburnum::http {
 
 /// Cuts a stream of server-sent events into whole events, each as it came with
-/// its blank line. Thread safety: one thread an object.
+/// its blank line. A line ends with LF, CR LF or CR. A blank line behind
+/// another one comes as an event of its own, and so does an LF that is received
+/// after the CR before it has ended an event. Thread safety: one thread an
+/// object.
 class EventCutter
 {
 public:
   /// Takes in bytes and returns the events that are now whole.
-  /// Pre: none. Complexity: linear.
+  /// Complexity: linear.
   std::vector<std::string> add(std::string_view aBytes);
 
-  /// True if a part of an event is held back. Pre: none.
+  /// True if a part of an event is held back.
   bool isTorn() const { return !mPending.empty(); }
 
   /// True if that part is longer than any event of a sound sender, so that the
@@ -25,34 +28,31 @@
   static constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
 private:
+  /// Takes in the LF behind a CR, if there is one.
+  /// @pre !aBytes.empty(), and the byte before was a CR.
+  void endReturn(std::string_view& aBytes, std::vector<std::string>& aEvents);
+
   std::string mPending;
+  bool mIsLineEmpty = true;    ///< No byte of the present line has come.
+  bool mIsAfterReturn = false; ///< The last byte was a CR.
+  bool mEndsWithFeed = false;  ///< The last CR was followed by an LF.
+  /// The event is whole, but for an LF that is likely to follow its last CR.
+  bool mAwaitsFeed = false;
 };
 
-/// Calls a function with the value of each field of an event that has a name,
-/// without one leading space. Pre: none. Thread safety: any thread.
-template<class Function>
-void
-eachField(std::string_view aEvent, std::string_view aName, Function aFunction)
+/// A line of a server-sent event. The name is empty for a comment, and the
+/// whole line if there is no colon. The value is without one leading space.
+struct EventField
 {
-  while (!aEvent.empty()) {
-    const std::size_t end = aEvent.find('\n');
-    std::string_view line = aEvent.substr(0, end);
-    aEvent = end == std::string_view::npos ? std::string_view()
-                                           : aEvent.substr(end + 1);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
-    if (!line.starts_with(aName) ||
-        !line.substr(aName.size()).starts_with(':')) {
-      continue;
-    }
-    line.remove_prefix(aName.size() + 1);
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
-    }
-    aFunction(line);
-  }
-}
+  std::string_view line; ///< Not empty, without its end.
+  std::string_view name;
+  std::string_view value;
+};
+
+/// Returns the lines of an event but the blank ones. They refer to `aEvent`.
+/// Complexity: linear. Thread safety: any thread.
+std::vector<EventField>
+eventFields(std::string_view aEvent);
 
 /// Cuts a stream of server-sent events into the data of each event.
 /// Thread safety: one thread an object.
@@ -60,7 +60,7 @@
 {
 public:
   /// Takes in bytes and returns the data of the events that are now whole.
-  /// Pre: none. Complexity: linear.
+  /// Complexity: linear.
   std::vector<std::string> add(std::string_view aBytes);
 
   /// As `EventCutter::isEndless`.
--- a/http/tests/unit_http.cpp
+++ b/http/tests/unit_http.cpp
@@ -145,6 +145,56 @@
   CHECK(answer.find("abc") == std::string::npos);
 }
 
+// Guards against ORDER: events that end with CR, or with two kinds of line
+// ends, ran into one.
+TEST_CASE("EventCutter, lines end with LF, CR LF or CR, cuts after blank lines")
+{
+  const std::vector<std::string> ends = { "\n", "\r\n", "\r" };
+  const std::string first = GENERATE_COPY(from_range(ends));
+  const std::string blank = GENERATE_COPY(from_range(ends));
+  if (first == "\r" && blank == "\n") {
+    return; // Together they are one line end.
+  }
+  const std::string event = "id: 1" + first + "data: a" + first + blank;
+  const std::string text = event + event + ": c" + first + blank + "data: b";
+  const std::size_t size = GENERATE(1, 2, 3, 5, 100);
+  CAPTURE(text, size);
+  EventCutter cutter;
+  std::string whole;
+  std::size_t events = 0;
+  for (std::size_t at = 0; at < text.size(); at += size) {
+    for (const std::string& part : cutter.add(text.substr(at, size))) {
+      whole += part;
+      events += eventFields(part).empty() ? 0 : 1;
+    }
+  }
+  CHECK(events == 3);
+  CHECK(whole == text.substr(0, text.size() - 7));
+  CHECK(cutter.isTorn());
+}
+
+TEST_CASE(
+  "EventCutter, blank lines and an LF behind a CR, are passed on at once")
+{
+  EventCutter cutter;
+  CHECK(cutter.add("data: a\r\r") == std::vector<std::string>{ "data: a\r\r" });
+  CHECK_FALSE(cutter.isTorn());
+  CHECK(cutter.add("\ndata") == std::vector<std::string>{ "\n" });
+  CHECK(cutter.add(": b\r\n\r\n\n") ==
+        std::vector<std::string>{ "data: b\r\n\r\n", "\n" });
+  CHECK_FALSE(cutter.isTorn());
+}
+
+TEST_CASE("eventFields, any line, has the name and the value of the format")
+{
+  const std::string event = "data\rid:3\r\n: c\ndata:  x:y\n\n";
+  std::string text;
+  for (const EventField& field : eventFields(event)) {
+    text.append(field.name).append("=").append(field.value).append(";");
+  }
+  CHECK(text == "data=;id=3;=c;data= x:y;");
+}
+
 TEST_CASE("SseReader, events in any pieces, come out whole")
 {
   const std::string stream =
