Streams: events behind a chunk size changed to 0 are no trailer

Callers would see a stream end as complete before its last event (ORDER): one byte of a chunk's size is lost or changed, so that it is the last chunk, and the lines of the event behind it, with CR LF, are a valid trailer.

Cause: the framing alone decided that the response was complete. Ruled out: other bytes of the framing (each ends in an error of the parser or leaves an event cut off), and lines that end with LF (not valid in a trailer).

Change: a trailer field named as the data of an event makes the response invalid; the stream is resumed. Other trailers are taken as before.

--- a/gateway/include/laburnum/gateway/server_connection.hpp
+++ b/gateway/include/laburnum/gateway/server_connection.hpp
@@ -26,7 +26,11 @@
 };
 /// The response is complete according to its HTTP framing.
 struct ResponseEnd
-{};
+{
+  /// A line of an event came as a trailer field: the size of the chunk with the
+  /// event was changed to that of the last chunk.
+  bool hasEventInTrailer = false;
+};
 /// The connection failed or delivered an invalid response.
 struct ConnectionLost
 {
@@ -103,6 +107,7 @@
   Listener mListener;
   std::function<void()> mOnIdleClosed;
   std::optional<Duration> mKeepAlive;
+  std::size_t mDataFields = 0; ///< Fields of the head named as data of events.
   Instant mIdleSince{};
   std::uint64_t mGeneration = 0; ///< Incremented per request.
   bool mOpen = false;
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -252,8 +252,13 @@
 }
 
 void
-RequestForwarder::handle(const ResponseEnd&)
+RequestForwarder::handle(const ResponseEnd& aEvent)
 {
+  if (mIsEventStream && aEvent.hasEventInTrailer) {
+    mExpectsEvent = true;
+    finishAttempt(AttemptOutcome::InvalidResponse, "event in the trailer");
+    return;
+  }
   if (mResponse.result_int() == 421) {
     mContext.servers.markLeaving(mServerId, mServerStartedMs);
   }
--- a/gateway/src/server_connection.cpp
+++ b/gateway/src/server_connection.cpp
@@ -31,6 +31,9 @@
   return timeout ? std::optional<Duration>(seconds(*timeout)) : std::nullopt;
 }
 
+/// Name of the line of an event that has its data.
+constexpr std::string_view kEventDataField = "data";
+
 bool
 isClosedByServer(boost::system::error_code aError)
 {
@@ -162,6 +165,7 @@
         return;
       }
       self->mKeepAlive = parseKeepAlive(self->mParser->get().base());
+      self->mDataFields = self->mParser->get().count(kEventDataField);
       self->notify(ResponseHead{ self->mParser->get().base() });
       if (!self->mAborted) {
         self->readBody();
@@ -214,12 +218,14 @@
   // the server would still expect the rest of the request.
   mReusable = mWriteDone && mBuffer.size() == 0 &&
               mParser->get().keep_alive() && !mParser->need_eof();
+  const bool hasEventInTrailer =
+    mParser->get().count(kEventDataField) > mDataFields;
   mIdleSince = mLoop.now();
   mBytes = {};
   const Listener listener = std::move(mListener);
   mListener = nullptr;
   mRequest.reset();
-  listener(ResponseEnd{});
+  listener(ResponseEnd{ .hasEventInTrailer = hasEventInTrailer });
 }
 
 void
--- a/gateway/tests/unit_spoiled_streams.cpp
+++ b/gateway/tests/unit_spoiled_streams.cpp
@@ -115,3 +115,19 @@
   // Most of them are resumed, or are sound all the same.
   CHECK(fixture.complete * 2 > texts.size());
 }
+
+// Guards against ORDER: a byte of the framing that ends a response early.
+TEST_CASE("gateway_oneByteOfTheFramingIsSpoiled_noPieceIsMissingOrTwice")
+{
+  const std::string lineEnd = GENERATE("\n", "\r\n");
+  // Chunks of 16 bytes have a size that differs from that of the last chunk by
+  // one byte.
+  const std::string padding = GENERATE("", "x", "xx");
+  SpoiledStreamFixture fixture(
+    { .lineEnd = lineEnd, .space = "", .text = padding });
+  const std::string body = fixture.stream.chunks(0) + "0\r\n\r\n";
+  for (const auto& [what, text] : spoiledTexts(body)) {
+    CAPTURE(lineEnd, padding, what);
+    fixture.check(kEventStreamHead + text);
+  }
+}
