Server list: a late write does not bring back an entry that was removed

Cause: an entry with a lower sequence than the process had written was taken for a late write only while another entry of that process was listed. What was known of the process was still there, but not asked.

Ruled out: that it was forgotten with the entry (draining is not). A further case: removal and late write between two reads; `created` tells it.

Change: an entry that was created again with a lower sequence counts only if it lasts or a higher sequence is read. The removal tells the highest sequence.

A test was wrong: server_list_entryLapsesAndReturns_isUsedAgain expected that a lower sequence brings a server back at once, which is the fault. It has more cases now; the lower sequence moved to server_list_silentServerRenewsLateEntry_isUsedOnceItLasts, where the entry has to last or a higher sequence to be read.

--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -26,6 +26,8 @@
   std::int64_t startedMs = 0;
   /// Counts the writes of the process to its entry; 0 if unknown.
   std::int64_t sequence = 0;
+  /// Differs if the entry was removed and created again; 0 if unknown.
+  std::uint64_t entryCreated = 0;
   double slowdown = 1; ///< Factor by which its work exceeds the usual time.
   /// Time for which it stays cold, from when its entry was read; nothing if the
   /// entry does not say.
@@ -64,6 +66,8 @@
 {
   std::string id;
   std::optional<ServerRecord> record;
+  /// The entry as it was when it was removed, if the source tells.
+  std::optional<ServerRecord> removed;
 };
 
 /// Settings of a `ServerList`.
@@ -75,9 +79,9 @@
   /// Time for which a server that refused a connection is treated as cold: its
   /// next process is back after some seconds, and its entry is read then.
   Duration restartTime = seconds(10);
-  /// Time after which an entry that was written by a process with an earlier
-  /// start than the known one is taken: entries are removed after three missing
-  /// heartbeats, so one that remains is that of a live process.
+  /// Time after which an entry is taken that may be a late write: entries are
+  /// removed after three missing heartbeats, so one that remains is that of a
+  /// live process.
   Duration lastingTime = seconds(5);
 };
 
@@ -85,10 +89,11 @@
 /// of the list is unavailable remain in use until the source has been available
 /// again for a grace period, because live servers cannot renew them meanwhile.
 ///
-/// A write to an entry may be executed late, after newer ones. A process that
-/// has reported that it is leaving therefore stays excluded, entries with a
-/// lower sequence change nothing, and those of a process with an earlier start
-/// count only if they last.
+/// A write to an entry may be executed late, after newer ones, and even after
+/// the entry was removed. A process that has reported that it is leaving
+/// therefore stays excluded, entries with a lower sequence change nothing, and
+/// those that bring back a removed entry with a lower sequence, or are of a
+/// process with an earlier start, count only if they last.
 ///
 /// All times passed in must be non-decreasing. Methods that remove servers
 /// return the IDs of those that may receive no further requests. Performs no
@@ -125,7 +130,7 @@
   /// Removes missing servers whose grace period has ended.
   std::vector<std::string> removeExpired(Instant aNow);
 
-  /// Takes entries of processes with an earlier start that have lasted, see
+  /// Takes entries that may be late writes and have lasted, see
   /// `ServerListOptions::lastingTime`.
   void acceptLasting(Instant aNow);
 
@@ -235,8 +240,9 @@
     std::optional<double> rateLimit;
     Instant restartingUntil{}; ///< Until when it is treated as cold.
   };
-  /// An entry of a process with an earlier start than the known one.
-  struct EarlierProcess
+  /// An entry that may be a late write: of a process with an earlier start than
+  /// the known one, or of one whose entry was removed with a higher sequence.
+  struct DoubtfulEntry
   {
     ServerRecord record;
     Instant since{};
@@ -254,15 +260,24 @@
                                  Instant aNow) const;
   bool inGracePeriod(Instant aNow) const;
   bool removeOrMarkMissing(const std::string& aServerId, Instant aNow);
+  /// Keeps the highest sequence of a process whose entry was removed.
+  void recordRemoved(const ServerRecord& aRecord);
   bool upsert(const ServerRecord& aRecord, Instant aNow);
+  /// True if a process whose entry was removed has written an entry after this
+  /// one. An unknown sequence tells nothing.
+  static bool isLateWrite(const ServerRecord& aRecord, const Notice& aNotice);
+  /// True if the entry in the list was removed and this one created since.
+  bool wasRecreated(const ServerRecord& aRecord) const;
+  /// Keeps an entry for the case that it lasts.
+  void putAside(const ServerRecord& aRecord, Instant aNow);
   /// Stores an entry whose process is the latest one known.
   bool store(const ServerRecord& aRecord, Notice& aNotice, Instant aNow);
 
   ServerListOptions mOptions;
   std::map<std::string, Entry> mRecords;
-  std::map<std::string, Notice> mNotices;                  ///< By server.
-  std::map<std::string, EarlierProcess> mEarlierProcesses; ///< By server.
-  std::map<std::string, ColdLimit> mColdLimits;            ///< By service.
+  std::map<std::string, Notice> mNotices;                ///< By server.
+  std::map<std::string, DoubtfulEntry> mDoubtfulEntries; ///< By server.
+  std::map<std::string, ColdLimit> mColdLimits;          ///< By service.
   std::optional<std::set<std::string>> mEvacuatedDomains{ std::in_place };
   bool mIsSourceLost = false;
   std::optional<Instant> mSourceRestoredAt;
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -39,20 +39,56 @@
 ServerList::upsert(const ServerRecord& aRecord, Instant aNow)
 {
   Notice* notice = noticeOf(aRecord.id, aRecord.startedMs);
-  if (notice != nullptr) {
-    mEarlierProcesses.erase(aRecord.id);
-    return store(aRecord, *notice, aNow);
+  if (notice == nullptr) {
+    putAside(aRecord, aNow);
+    return false;
   }
-  const auto [earlier, isNew] =
-    mEarlierProcesses.try_emplace(aRecord.id, EarlierProcess{ .since = aNow });
-  if (!isNew && earlier->second.record.startedMs != aRecord.startedMs) {
-    earlier->second.since = aNow;
+  const bool isRecreated = wasRecreated(aRecord);
+  const bool isMissing = !mRecords.contains(aRecord.id);
+  if ((isRecreated || (isMissing && notice->isGone)) &&
+      isLateWrite(aRecord, *notice)) {
+    notice->isLeaving = notice->isLeaving || aRecord.isLeaving;
+    notice->isGone = true;
+    putAside(aRecord, aNow);
+    return mRecords.erase(aRecord.id) > 0;
   }
-  earlier->second.record = aRecord;
+  mDoubtfulEntries.erase(aRecord.id);
+  return store(aRecord, *notice, aNow);
+}
+
+bool
+ServerList::isLateWrite(const ServerRecord& aRecord, const Notice& aNotice)
+{
+  return aRecord.sequence > 0 && aRecord.sequence < aNotice.sequence;
+}
+
+bool
+ServerList::wasRecreated(const ServerRecord& aRecord) const
+{
+  const auto entry = mRecords.find(aRecord.id);
+  if (entry == mRecords.end() ||
+      entry->second.record.startedMs != aRecord.startedMs) {
+    return false;
+  }
+  const std::uint64_t created = entry->second.record.entryCreated;
+  return entry->second.missingSince.has_value() ||
+         (created != 0 && aRecord.entryCreated != 0 &&
+          created != aRecord.entryCreated);
+}
+
+void
+ServerList::putAside(const ServerRecord& aRecord, Instant aNow)
+{
+  const auto [doubtful, isNew] =
+    mDoubtfulEntries.try_emplace(aRecord.id, DoubtfulEntry{ .since = aNow });
+  if (!isNew && doubtful->second.record.startedMs != aRecord.startedMs) {
+    doubtful->second.since = aNow;
+  }
+  doubtful->second.record = aRecord;
   if (isNew) {
-    logOutdated(aRecord, mNotices[aRecord.id].startedMs, 0);
+    const Notice& known = mNotices[aRecord.id];
+    logOutdated(aRecord, known.startedMs, known.sequence);
   }
-  return false;
 }
 
 bool
@@ -62,8 +98,7 @@
   const bool isSameProcess =
     !entry.record.id.empty() && entry.record.startedMs == aRecord.startedMs;
   const bool wasAvailable = !entry.record.id.empty() && !entry.record.isLeaving;
-  const bool isOlder =
-    aRecord.sequence > 0 && aRecord.sequence < aNotice.sequence;
+  const bool isOlder = isLateWrite(aRecord, aNotice);
   if (isOlder) {
     logOutdated(aRecord, aNotice.startedMs, aNotice.sequence);
   }
@@ -91,18 +126,23 @@
 void
 ServerList::acceptLasting(Instant aNow)
 {
-  if (mEarlierProcesses.empty() || inGracePeriod(aNow)) {
+  if (mDoubtfulEntries.empty() || inGracePeriod(aNow)) {
     return;
   }
   const Instant restored = mSourceRestoredAt.value_or(Instant{});
   std::vector<ServerRecord> lasting;
-  for (const auto& [id, earlier] : mEarlierProcesses) {
-    if (aNow - std::max(earlier.since, restored) >= mOptions.lastingTime) {
-      lasting.push_back(earlier.record);
+  for (const auto& [id, doubtful] : mDoubtfulEntries) {
+    if (aNow - std::max(doubtful.since, restored) >= mOptions.lastingTime) {
+      lasting.push_back(doubtful.record);
     }
   }
   for (const ServerRecord& record : lasting) {
-    mNotices.erase(record.id);
+    Notice& notice = mNotices[record.id];
+    if (notice.startedMs > record.startedMs) {
+      notice = {};
+    } else {
+      notice.sequence = record.sequence;
+    }
     upsert(record, aNow);
   }
 }
@@ -110,7 +150,7 @@
 bool
 ServerList::removeOrMarkMissing(const std::string& aServerId, Instant aNow)
 {
-  mEarlierProcesses.erase(aServerId);
+  mDoubtfulEntries.erase(aServerId);
   const auto found = mRecords.find(aServerId);
   if (found == mRecords.end()) {
     return false;
@@ -125,6 +165,15 @@
   return true;
 }
 
+void
+ServerList::recordRemoved(const ServerRecord& aRecord)
+{
+  if (Notice* notice = noticeOf(aRecord.id, aRecord.startedMs)) {
+    notice->sequence = std::max(notice->sequence, aRecord.sequence);
+    notice->isLeaving = notice->isLeaving || aRecord.isLeaving;
+  }
+}
+
 std::map<std::string, ServerList::Entry>::iterator
 ServerList::erase(std::map<std::string, Entry>::iterator aEntry)
 {
@@ -147,7 +196,7 @@
       retired.push_back(record.id);
     }
   }
-  std::erase_if(mEarlierProcesses, [&present](const auto& aEntry) {
+  std::erase_if(mDoubtfulEntries, [&present](const auto& aEntry) {
     return !present.contains(aEntry.first);
   });
   std::vector<std::string> missing;
@@ -180,6 +229,7 @@
       usable.push_back(*known); // The copy has a former process.
     } else {
       usable.push_back(record);
+      usable.back().entryCreated = 0; // The copy may have a former entry.
       usable.back().isLeaving =
         record.isLeaving || (known != nullptr && known->isLeaving &&
                              known->startedMs == record.startedMs);
@@ -193,6 +243,9 @@
 {
   std::vector<std::string> retired;
   for (const ServerChange& change : aChanges) {
+    if (change.removed) {
+      recordRemoved(*change.removed);
+    }
     const bool isRetired = change.record ? upsert(*change.record, aNow)
                                          : removeOrMarkMissing(change.id, aNow);
     if (isRetired) {
