Suspicions: the removal of a silent server's entry counts, as uncertain

The next processes had other IDs and addresses.

Cause: a loss at a server that had closed nothing counted only with proof that the process had ended (its port, another process at its address). The removal of its entry was no evidence, as a server that is cut off expires as well. And a request that waited longer than its server's entry lasted was not recorded.

Ruled out: the loss not recorded at all (it counts where the server returns at its address); a response that clears it (there was none).

Change: when an entry is removed, a request counts that was sent before the process had missed a heartbeat, if nothing came from the process since. Three such crashes refuse it. Who has served it since clears it, and a process that is listed again takes its crash back. The next process of the same name elsewhere is proof.

--- a/apps/laburnumd.cpp
+++ b/apps/laburnumd.cpp
@@ -44,6 +44,7 @@
 constexpr EnvironmentSetting kEnvironmentSettings[]{
   { "LABURNUM_GATEWAY_MEMORY_MB", "gateway", "memory_mb" },
   { "LABURNUM_GATEWAY_EVACUATION_BOUND_MS", "gateway", "evacuation_bound_ms" },
+  { "LABURNUM_GATEWAY_HEARTBEAT_MS", "gateway", "heartbeat_ms" },
 };
 
 std::vector<contract::SettingOverride>
--- a/contract/include/laburnum/contract/settings.hpp
+++ b/contract/include/laburnum/contract/settings.hpp
@@ -102,6 +102,9 @@
   /// Port on which the stewards beside the engines listen; 0: there are none.
   std::uint16_t stewardPort = 0;
   double memoryMb = 256; ///< Of the instance; an eighth may hold responses.
+  /// Interval of the heartbeats of servers. The source of the server list
+  /// removes an entry after three of them without one.
+  Duration heartbeat = milliseconds(1200);
   /// Time within which an evacuation of a failure domain has to be in force; 0:
   /// operators do not evacuate any.
   Duration evacuationBound{ 0 };
--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kMaxDuration = std::chrono::hours(24);
 /// The shortest window in which repeats can be counted.
 constexpr Duration kMinWindow = milliseconds(1);
+constexpr Duration kMinHeartbeat = milliseconds(1);
 /// Largest ratio, count or rate of a deployment.
 constexpr double kMaxNumber = 1e12;
 constexpr double kMinMbps = 0.001;
@@ -170,6 +171,11 @@
     "stop_grace_s", seconds(1), gateway.stopGrace, Duration(0), kMaxDuration);
   gateway.memoryMb =
     aReader.number("memory_mb", gateway.memoryMb, kMinMemoryMb, kMaxNumber);
+  gateway.heartbeat = aReader.duration("heartbeat_ms",
+                                       milliseconds(1),
+                                       gateway.heartbeat,
+                                       kMinHeartbeat,
+                                       kMaxDuration);
   gateway.evacuationBound = aReader.duration("evacuation_bound_ms",
                                              milliseconds(1),
                                              gateway.evacuationBound,
--- a/gateway/include/laburnum/gateway/context.hpp
+++ b/gateway/include/laburnum/gateway/context.hpp
@@ -57,6 +57,7 @@
         std::make_shared<http::ClientMemory>(static_cast<std::size_t>(
           aSettings.gateway.memoryMb * kClientMemoryShare * 1e6)))
     , retryBudgetOptions(aRetryBudgetOptions)
+    , crashSuspicions(aSettings.gateway.heartbeat)
   {
   }
 
--- a/gateway/include/laburnum/gateway/crash_suspicions.hpp
+++ b/gateway/include/laburnum/gateway/crash_suspicions.hpp
@@ -4,6 +4,7 @@
 #include "laburnum/gateway/served_content.hpp"
 #include "laburnum/wire/suspicion.hpp"
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -22,6 +23,12 @@
 public:
   using Records = std::vector<policy::SuspicionRecord>;
 
+  /// `aHeartbeat`: interval of the heartbeats of servers.
+  explicit CrashSuspicions(Duration aHeartbeat = milliseconds(1200))
+    : mDetector(aHeartbeat)
+  {
+  }
+
   /// Sets the function that sends records to the other gateways.
   void setShare(std::function<void(const Records&)> aShare)
   {
@@ -30,13 +37,24 @@
 
   /// Records that the response to a request did not become complete, although
   /// the server neither said that it leaves nor that it rejects the request.
-  void requestLost(const std::string& aServerId, CrashDetector::Loss aLoss);
+  void requestLost(const std::string& aServerId,
+                   CrashDetector::Loss aLoss,
+                   Instant aNow);
 
-  /// Called when a process is listed at an address. Requests that another
-  /// process there has lost become suspects.
-  void serverStarted(const contract::Address& aAddress,
-                     policy::CrashId aProcess,
-                     Instant aNow);
+  /// Records that a process sends something.
+  void serverActive(policy::CrashId aProcess, Instant aNow)
+  {
+    mDetector.recordActivity(aProcess, aNow);
+  }
+
+  /// Called when a process of a server is listed at an address. Requests that
+  /// another process of that server or at that address has lost become
+  /// suspects. If the entry of this process was removed and is back, the
+  /// process was only silent, and no request has crashed it.
+  void serverListed(const std::string& aServerId,
+                    const contract::Address& aAddress,
+                    policy::CrashId aProcess,
+                    Instant aNow);
 
   /// Records a response to a request that was sent at `aSentAt`: the process
   /// had not crashed by then.
@@ -51,9 +69,14 @@
   /// it.
   void serverLeaving(const std::string& aServerId);
 
-  /// Called when a server is unreachable or was removed (`Unreachable`), or
-  /// refuses connections (`Ended`). Requests that were in progress when it was
-  /// lost become suspects.
+  /// Called when the entry of a server process was removed. Requests that may
+  /// have silenced it become suspects.
+  void serverRemoved(const std::string& aServerId,
+                     policy::CrashId aProcess,
+                     Instant aNow);
+
+  /// Called when a server is unreachable or refuses connections (`Ended`).
+  /// Requests that were in progress when it was lost become suspects.
   void serverGone(const std::string& aServerId,
                   CrashDetector::Evidence aEvidence,
                   Instant aNow);
@@ -96,10 +119,13 @@
     return mServed.lastServed(aContent).has_value();
   }
 
+  /// Processes whose entry was removed that are remembered.
+  static constexpr std::size_t kMaxRemoved = 4096;
   /// How long a request that crashes servers is refused at first.
   static constexpr Duration kRefusalDuration = seconds(60);
 
   CrashDetector mDetector;
+  std::deque<policy::CrashId> mRemoved; ///< Processes, the oldest one first.
   ServedContent mServed;
   policy::Quarantine mQuarantine{ kRefusalDuration };
   std::function<void(const Records&)> mShare = [](const Records&) {};
--- a/gateway/include/laburnum/gateway/request_forwarder.hpp
+++ b/gateway/include/laburnum/gateway/request_forwarder.hpp
@@ -104,6 +104,8 @@
                           Instant aNow) const;
   void sendTo(const ServerRecord& aServer);
   http::Request buildRequest(const ServerRecord& aServer) const;
+  /// Records that the server makes progress.
+  void recordActivity();
   void handle(const ResponseHead& aEvent);
   /// Stops sending to the server for as long as its response asks for.
   void pauseServer();
--- a/gateway/include/laburnum/gateway/server_list.hpp
+++ b/gateway/include/laburnum/gateway/server_list.hpp
@@ -13,6 +13,14 @@
 
 namespace laburnum::gateway {
 
+/// Identifies a process of a server, by the Unix time at which it started; the
+/// same in each gateway.
+inline std::uint64_t
+processId(const std::string& aServerId, std::int64_t aStartedMs)
+{
+  return mix(hash64(aServerId), static_cast<std::uint64_t>(aStartedMs));
+}
+
 /// A backend server as described by the server list.
 struct ServerRecord
 {
@@ -34,10 +42,7 @@
   std::optional<Duration> coldTime;
 
   /// Identifies the process; the same in each gateway.
-  std::uint64_t processId() const
-  {
-    return mix(hash64(id), static_cast<std::uint64_t>(startedMs));
-  }
+  std::uint64_t processId() const { return gateway::processId(id, startedMs); }
 };
 
 /// What the servers of a service tolerate while they are cold.
@@ -158,6 +163,11 @@
   bool hasRestarted(const std::string& aServerId,
                     std::int64_t aStartedMs) const;
 
+  /// Returns when the latest process of a server started, if its entry was
+  /// removed and it had not said that it is leaving.
+  std::optional<std::int64_t> removedProcess(
+    const std::string& aServerId) const;
+
   /// Excludes a server process that said that it is leaving, or whose address
   /// now belongs to another server. It stays excluded if its entry lapses and
   /// returns.
--- a/gateway/src/crash_suspicions.cpp
+++ b/gateway/src/crash_suspicions.cpp
@@ -10,20 +10,38 @@
 
 void
 CrashSuspicions::requestLost(const std::string& aServerId,
-                             CrashDetector::Loss aLoss)
+                             CrashDetector::Loss aLoss,
+                             Instant aNow)
 {
   mDetector.recordLoss(aServerId, std::move(aLoss));
+  recordCrashes(aServerId, mDetector.takeLostLater(aServerId), aNow);
 }
 
 void
-CrashSuspicions::serverStarted(const contract::Address& aAddress,
-                               policy::CrashId aProcess,
-                               Instant aNow)
+CrashSuspicions::serverListed(const std::string& aServerId,
+                              const contract::Address& aAddress,
+                              policy::CrashId aProcess,
+                              Instant aNow)
 {
   for (auto& [server, crashes] :
-       mDetector.takeEnded(aAddress, aProcess, aNow)) {
+       mDetector.takeEnded(aServerId, aAddress, aProcess, aNow)) {
     recordCrashes(server, std::move(crashes), aNow);
   }
+  if (std::erase(mRemoved, aProcess) > 0) {
+    mQuarantine.retractCrash(aProcess);
+  }
+}
+
+void
+CrashSuspicions::serverRemoved(const std::string& aServerId,
+                               policy::CrashId aProcess,
+                               Instant aNow)
+{
+  mRemoved.push_back(aProcess);
+  if (mRemoved.size() > kMaxRemoved) {
+    mRemoved.pop_front();
+  }
+  serverGone(aServerId, CrashDetector::Evidence::Removed, aNow);
 }
 
 void
--- a/gateway/src/gateway_servers.cpp
+++ b/gateway/src/gateway_servers.cpp
@@ -16,12 +16,11 @@
         { { "server", id }, { "reason", aReason } });
     mContext.pool.closeIdle(id);
     mContext.selector.removeServer(id);
-    const ServerRecord* server = mContext.servers.find(id);
-    if (server != nullptr && server->isLeaving) {
-      mContext.crashSuspicions.serverLeaving(id);
+    if (const auto startedMs = mContext.servers.removedProcess(id)) {
+      mContext.crashSuspicions.serverRemoved(
+        id, processId(id, *startedMs), mLoop.now());
     } else {
-      mContext.crashSuspicions.serverGone(
-        id, CrashDetector::Evidence::Unreachable, mLoop.now());
+      mContext.crashSuspicions.serverLeaving(id);
     }
   }
 }
@@ -64,8 +63,8 @@
 Gateway::recordProcess(const std::string& aServerId)
 {
   if (const ServerRecord* server = mContext.servers.find(aServerId)) {
-    mContext.crashSuspicions.serverStarted(
-      server->address, server->processId(), mLoop.now());
+    mContext.crashSuspicions.serverListed(
+      aServerId, server->address, server->processId(), mLoop.now());
   }
 }
 
--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -66,10 +66,18 @@
     });
 }
 
+void
+RequestForwarder::recordActivity()
+{
+  const Instant now = mContext.loop.now();
+  mContext.selector.recordActivity(mServerId, now);
+  mContext.crashSuspicions.serverActive(mServerProcess, now);
+}
+
 void
 RequestForwarder::handle(const ResponseHead& aEvent)
 {
-  mContext.selector.recordActivity(mServerId, mContext.loop.now());
+  recordActivity();
   mResponse.result(aEvent.head.result_int());
   copyEndToEnd(aEvent.head, mResponse);
   const bool isSuccess = aEvent.head.result_int() / 100 == 2;
@@ -132,7 +140,7 @@
 RequestForwarder::handle(const ResponseBytes& aEvent)
 {
   if (!mIsEventStream) {
-    mContext.selector.recordActivity(mServerId, mContext.loop.now());
+    recordActivity();
     mResponse.body().append(aEvent.bytes);
     if (mResponse.body().size() > kMaxBufferedBytes) {
       giveUpResponse();
@@ -195,7 +203,7 @@
   if (aHasProgress) {
     mAttemptHasEvents = true;
     mExpectsEvent = false;
-    mContext.selector.recordActivity(mServerId, now);
+    recordActivity();
     mContext.admissions[currentGroup()].recordProgress(now);
     promptRead();
   }
@@ -279,7 +287,9 @@
              mContext.servers.isServing(mServerId, mServerStartedMs)) {
     finishLostAttempt(aEvent.reason);
   } else {
-    finishAttempt(AttemptOutcome::Lost, aEvent.reason);
+    recordAttemptEnd(
+      AttemptOutcome::Lost, aEvent.reason, aEvent.isClosedByServer);
+    decideNext(AttemptOutcome::Lost);
   }
 }
 
--- a/gateway/src/request_forwarder_attempts.cpp
+++ b/gateway/src/request_forwarder_attempts.cpp
@@ -53,7 +53,10 @@
 {
   const ServerList& servers = mContext.servers;
   const bool hasRestarted = servers.hasRestarted(mServerId, mServerStartedMs);
-  if (!hasRestarted && !servers.isServing(mServerId, mServerStartedMs)) {
+  const bool wasRemoved =
+    !aIsClosedByServer && servers.removedProcess(mServerId) == mServerStartedMs;
+  if (!hasRestarted && !wasRemoved &&
+      !servers.isServing(mServerId, mServerStartedMs)) {
     return;
   }
   const Instant now = mContext.loop.now();
@@ -62,12 +65,14 @@
     { .process = mServerProcess,
       .address = mServerAddress,
       .request = { .content = mContent, .hasBegun = mAttemptHasEvents },
+      .sentAt = mSentAt,
       .at = now,
-      .needsProof = !aIsClosedByServer });
+      .needsProof = !aIsClosedByServer },
+    now);
   if (hasRestarted) {
     const ServerRecord* server = servers.find(mServerId);
-    mContext.crashSuspicions.serverStarted(
-      mServerAddress, server->processId(), now);
+    mContext.crashSuspicions.serverListed(
+      mServerId, mServerAddress, server->processId(), now);
   }
 }
 
--- a/gateway/src/server_list.cpp
+++ b/gateway/src/server_list.cpp
@@ -379,6 +379,16 @@
   return notice != nullptr && !notice->hasFormerLeft;
 }
 
+std::optional<std::int64_t>
+ServerList::removedProcess(const std::string& aServerId) const
+{
+  const auto found = mNotices.find(aServerId);
+  return found != mNotices.end() && found->second.isGone &&
+             !found->second.isLeaving
+           ? std::optional(found->second.startedMs)
+           : std::nullopt;
+}
+
 bool
 ServerList::isReady(const ServerRecord& aServer, Instant aNow) const
 {
--- a/gateway/tests/unit_decisions.cpp
+++ b/gateway/tests/unit_decisions.cpp
@@ -685,12 +685,14 @@
   detector.recordLoss("i-1", silent);
   const contract::Address address = silent.address;
   CHECK(detector.takeCrashes("i-1", kUnreachable, start).empty());
-  CHECK(detector.takeEnded(address, 1, start + seconds(9)).empty());
-  CHECK(detector.takeEnded({ "127.0.0.2", 80 }, 2, start + seconds(9)).empty());
+  CHECK(detector.takeEnded("i-9", address, 1, start + seconds(9)).empty());
+  CHECK(detector.takeEnded("i-9", { "127.0.0.2", 80 }, 2, start + seconds(9))
+          .empty());
   SECTION("another process is at its address")
   {
-    CHECK(detector.takeEnded(address, 2, start + seconds(9)).size() == 1);
-    CHECK(detector.takeEnded(address, 2, start + seconds(9)).empty());
+    CHECK(detector.takeEnded("i-9", address, 2, start + seconds(9)).size() ==
+          1);
+    CHECK(detector.takeEnded("i-9", address, 2, start + seconds(9)).empty());
   }
   SECTION("its port is closed")
   {
@@ -699,10 +701,80 @@
   SECTION("it responds before it ends")
   {
     detector.recordResponse("i-1", 1, start + seconds(2));
-    CHECK(detector.takeEnded(address, 2, start + seconds(9)).empty());
+    CHECK(detector.takeEnded("i-9", address, 2, start + seconds(9)).empty());
   }
   SECTION("it ends much later")
   {
-    CHECK(detector.takeEnded(address, 2, start + seconds(31)).empty());
+    CHECK(detector.takeEnded("i-9", address, 2, start + seconds(31)).empty());
   }
 }
+
+// Guards against BUDGET: a request that silenced servers which did not return
+// at their address was never a suspect.
+TEST_CASE("crash_detector_silentServerIsRemoved_suspectsWhatMayHaveSilencedIt")
+{
+  constexpr auto kRemoved = CrashDetector::Evidence::Removed;
+  CrashDetector detector(seconds(1));
+  const Instant start{ seconds(100) };
+  CrashDetector::Loss silent = loss(1, 7, start + seconds(1));
+  silent.sentAt = start;
+  silent.needsProof = true;
+  silent.request.content.parts = { 40 };
+  SECTION("it counts as uncertain, since when it was sent")
+  {
+    detector.recordLoss("i-1", silent);
+    const auto crashes =
+      detector.takeCrashes("i-1", kRemoved, start + milliseconds(2900));
+    REQUIRE(crashes.size() == 1);
+    CHECK(
+      crashes.at(1) ==
+      CrashDetector::Crash{
+        .at = start, .suspects = { { .content = { 7 }, .hasBegun = true } } });
+    CHECK(detector.takeCrashes("i-1", kRemoved, start + seconds(3)).empty());
+  }
+  SECTION("it is lost after the entry was removed")
+  {
+    CHECK(detector.takeCrashes("i-1", kRemoved, start + seconds(3)).empty());
+    detector.recordLoss("i-1", silent);
+    CHECK(detector.takeLostLater("i-1").size() == 1);
+    CHECK(detector.takeLostLater("i-1").empty());
+  }
+  SECTION("the process was silent before it was sent")
+  {
+    detector.recordLoss("i-1", silent);
+    CHECK(detector.takeCrashes("i-1", kRemoved, start + milliseconds(1400))
+            .empty());
+  }
+  SECTION("the process has sent something since it should have been silent")
+  {
+    detector.recordActivity(1, start + seconds(2));
+    detector.recordLoss("i-1", silent);
+    CHECK(detector.takeCrashes("i-1", kRemoved, start + seconds(3)).empty());
+  }
+  SECTION("it was lost long before the last heartbeat")
+  {
+    detector.recordLoss("i-1", silent);
+    CHECK(detector.takeCrashes("i-1", kRemoved, start + seconds(6)).empty());
+  }
+  SECTION("the server is listed once more")
+  {
+    detector.takeCrashes("i-1", kRemoved, start + seconds(3));
+    detector.takeEnded("i-1", silent.address, 1, start + seconds(4));
+    detector.recordLoss("i-1", silent);
+    CHECK(detector.takeLostLater("i-1").empty());
+  }
+}
+
+TEST_CASE("crash_detector_nextProcessOfThatNameIsElsewhere_formerOneHasEnded")
+{
+  CrashDetector detector;
+  const Instant start{ seconds(100) };
+  CrashDetector::Loss silent = loss(1, 7, start);
+  silent.needsProof = true;
+  detector.recordLoss("i-1", silent);
+  const contract::Address elsewhere{ "127.0.0.2", 80 };
+  CHECK(detector.takeEnded("i-2", elsewhere, 2, start + seconds(1)).empty());
+  CHECK(detector.takeEnded("i-1", elsewhere, 1, start + seconds(1)).empty());
+  CHECK(detector.takeEnded("i-1", elsewhere, 2, start + seconds(1)).size() ==
+        1);
+}
--- a/policy/include/laburnum/policy/quarantine.hpp
+++ b/policy/include/laburnum/policy/quarantine.hpp
@@ -3,6 +3,7 @@
 #include "laburnum/kernel/time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <span>
@@ -39,7 +40,8 @@
 struct RequestInProgress
 {
   RequestContent content;
-  /// Its response had begun: the server had run it for a while.
+  /// Its response had begun, so that the server had run it for a while, or it
+  /// is not certain that the server has crashed.
   bool hasBegun = false;
 
   bool operator==(const RequestInProgress&) const = default;
@@ -70,8 +72,9 @@
 /// not take down one server after another. All requests in progress at a crash
 /// become suspects. A request that was in progress at two crashes is taken to
 /// be the cause and refused, unless another one was in progress at both. Three
-/// crashes are needed if its response had begun at each of them: such a request
-/// may have been moved from one server of a failing rack to another.
+/// crashes are needed if its response had begun at each of them, as such a
+/// request may have been moved from one server of a failing rack to another, or
+/// if none of them is certain.
 ///
 /// Parts of prompts are suspected likewise. A part counts a crash only if
 /// another request with it crashed a server before, so that a request that is
@@ -161,6 +164,10 @@
   /// Returns all current suspicions and drops expired ones. O(n).
   std::vector<SuspicionRecord> records(Instant aNow);
 
+  /// Takes back a crash: its process has not ended. Records of other daemons
+  /// that name it are ignored from now on.
+  void retractCrash(CrashId aCrash);
+
   /// Sets how long suspicions from later crashes last.
   /// @pre aRefusalDuration > 0
   void setRefusalDuration(Duration aRefusalDuration)
@@ -212,8 +219,11 @@
                                 const Entry& aEntry,
                                 Instant aNow);
 
+  bool isRetracted(CrashId aCrash) const;
+
   Duration mRefusalDuration;
   std::size_t mCapacity;
+  std::deque<CrashId> mRetracted; ///< The oldest one first.
   std::unordered_map<std::uint64_t, Entry> mEntries;
 };
 
--- a/policy/src/quarantine.cpp
+++ b/policy/src/quarantine.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kCrashesToRefuseAnyway = 3;
 /// Crashes that are remembered of a suspect.
 constexpr std::size_t kMaxCrashes = 8;
+/// Crashes that are remembered as retracted.
+constexpr std::size_t kMaxRetracted = 1024;
 
 /// Crashes within this time may have one cause other than a request, such as
 /// the loss of a rack and then of the servers that took over.
@@ -202,6 +204,7 @@
                         const WasServed& aWasServed,
                         Duration aSinceCrash)
 {
+  std::erase(mRetracted, aCrash);
   std::vector<std::uint64_t> suspects;
   const auto add =
     [&](std::uint64_t aFingerprint, std::size_t aSpecificity, bool aHasBegun) {
@@ -251,6 +254,31 @@
                      aSinceCrash);
 }
 
+bool
+Quarantine::isRetracted(CrashId aCrash) const
+{
+  return std::find(mRetracted.begin(), mRetracted.end(), aCrash) !=
+         mRetracted.end();
+}
+
+void
+Quarantine::retractCrash(CrashId aCrash)
+{
+  if (!isRetracted(aCrash)) {
+    mRetracted.push_back(aCrash);
+    if (mRetracted.size() > kMaxRetracted) {
+      mRetracted.pop_front();
+    }
+  }
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    Entry& entry = it->second;
+    const bool isLast = std::erase(entry.crashIds, aCrash) > 0 &&
+                        entry.crashIds.empty() && !entry.isRefusedElsewhere;
+    it = isLast ? mEntries.erase(it) : std::next(it);
+  }
+  updateRefusals();
+}
+
 bool
 Quarantine::clearSuspect(std::uint64_t aFingerprint, Instant aNow)
 {
@@ -294,6 +322,12 @@
   if (aRecord.crashes == 0) {
     return exonerate(aRecord.fingerprint);
   }
+  if (!aRecord.crashIds.empty() &&
+      std::all_of(aRecord.crashIds.begin(),
+                  aRecord.crashIds.end(),
+                  [this](CrashId aCrash) { return isRetracted(aCrash); })) {
+    return false;
+  }
   const bool isKnown = suspicion(aRecord.fingerprint, aNow) != Suspicion::None;
   Entry* entry = entryFor(aRecord.fingerprint, aNow);
   if (entry == nullptr) {
@@ -305,7 +339,7 @@
                (isRefusal && isOnProbation(*entry, aNow)) ||
                (hasNoEvidence && !entry->isRefusedElsewhere);
   for (const CrashId crash : aRecord.crashIds) {
-    isNew = entry->addCrash(crash) || isNew;
+    isNew = (!isRetracted(crash) && entry->addCrash(crash)) || isNew;
   }
   entry->isRefusedElsewhere = entry->isRefusedElsewhere || hasNoEvidence;
   entry->wasServed = entry->wasServed || aRecord.wasServed;
