Suspicions: gateways without stewards tell each other directly

Cause: suspicions were passed on by stewards only, and plain services have none. Ruled out: the suspicions themselves (with a steward the same tests passed).

Change: a gateway without a connected steward sends them to the registered gateways, which answer with theirs; one that starts asks three others.

Measured: the tests of incident_crashing_requests without engines failed on (4 of 45 assertions) and pass now; all of laburnum_incident_tests pass (208 assertions).

--- a/gateway/include/laburnum/gateway/gateway.hpp
+++ b/gateway/include/laburnum/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "laburnum/gateway/context.hpp"
 #include "laburnum/gateway/evacuations.hpp"
 #include "laburnum/gateway/group_follower.hpp"
+#include "laburnum/gateway/suspicion_exchange.hpp"
 
 #include <list>
 #include <memory>
@@ -140,6 +141,7 @@
   std::size_t mMaxClients; ///< The other descriptors are for other peers.
   bool mHasServers = false;
   Evacuations mEvacuations;
+  SuspicionExchange mSuspicionExchange;
   StoreFreshness mFreshness;
   std::function<void()> mRestartWatches;
   struct GroupHealth
--- a/gateway/include/laburnum/gateway/group_follower.hpp
+++ b/gateway/include/laburnum/gateway/group_follower.hpp
@@ -53,6 +53,9 @@
   /// gateways.
   void shareSuspicions(const std::vector<policy::SuspicionRecord>& aChanges);
 
+  /// True if a steward is connected, which passes suspicions on.
+  bool hasLink() const;
+
 private:
   using LinkPtr = std::shared_ptr<wire::Link>;
   /// A link to a steward, or the attempt to open one.
--- a/gateway/include/laburnum/gateway/peer_list.hpp
+++ b/gateway/include/laburnum/gateway/peer_list.hpp
@@ -72,6 +72,9 @@
   /// Called when this gateway begins to stop. It is no longer the issuer.
   void setOwnLeaving() { mIsOwnLeaving = true; }
 
+  /// The registered gateways without this one.
+  std::vector<Peer> others() const;
+
   /// Number of registered gateways.
   std::size_t size() const { return mPeers.size(); }
 
--- a/gateway/include/laburnum/gateway/permit_exchange.hpp
+++ b/gateway/include/laburnum/gateway/permit_exchange.hpp
@@ -42,6 +42,25 @@
   /// Sets the gateways of the deployment, this one included.
   void setPeers(std::vector<Peer> aPeers);
 
+  /// The other registered gateways, as last read.
+  std::vector<Peer> others() const { return mPeers.others(); }
+
+  /// Reads the registered gateways anew if they have not been read lately.
+  void readPeersIfOld();
+
+  /// Sets what answers the messages of other gateways to a path.
+  void onMessage(std::string aPath,
+                 std::function<std::string(std::string_view)> aHandler)
+  {
+    mMessageHandlers[std::move(aPath)] = std::move(aHandler);
+  }
+
+  /// Sends a message to another gateway. Returns its answer, or nothing if it
+  /// did not answer in time or does not know the path.
+  asio::awaitable<std::optional<std::string>> message(Peer aPeer,
+                                                      std::string aPath,
+                                                      std::string aBody);
+
   /// Number of registered gateways, as last read.
   std::size_t peerCount() const { return mPeers.size(); }
 
@@ -91,7 +110,9 @@
 
   asio::awaitable<void> answer(http::Session& aSession, http::Request aRequest);
   asio::awaitable<std::optional<Reply>> ask(Peer aPeer, std::string aBody);
-  void readPeersIfOld();
+  asio::awaitable<Result<http::Response>> send(Peer aPeer,
+                                               std::string aPath,
+                                               std::string aBody);
 
   Loop& mLoop;
   const contract::Settings& mSettings;
@@ -103,6 +124,8 @@
   std::map<contract::Address, std::unique_ptr<http::ClientPool>> mPools;
   Issuers mIssuers;  ///< Of permits for all gateways.
   Issuers mOwnShare; ///< While no issuer answers.
+  std::map<std::string, std::function<std::string(std::string_view)>>
+    mMessageHandlers; ///< By path.
   std::function<void()> mReadPeers;
   std::function<void(std::size_t)> mPeersChanged;
   Instant mPeersReadAt{};
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -78,6 +78,7 @@
   , mAcceptor(aLoop.context())
   , mMaxClients(
       static_cast<std::size_t>(kClientDescriptors * http::descriptorLimit()))
+  , mSuspicionExchange(aLoop, mContext.permits, mContext.crashSuspicions)
   , mFreshness({ .seed = entropySeed() })
   , mFollower(
       mSettings,
@@ -107,8 +108,14 @@
       return static_cast<double>(mEvacuations.domains().size());
     });
   }
-  mContext.crashSuspicions.setShare(
-    [this](const auto& aChanges) { mFollower.shareSuspicions(aChanges); });
+  mSuspicionExchange.start();
+  mContext.crashSuspicions.setShare([this](const auto& aChanges) {
+    if (mFollower.hasLink()) {
+      mFollower.shareSuspicions(aChanges);
+    } else {
+      mSuspicionExchange.share(aChanges);
+    }
+  });
   const tcp::endpoint endpoint = toEndpoint(mSettings.callers);
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -124,8 +131,12 @@
     },
     http::ServerBounds{ .memory = mContext.clientMemory,
                         .maxSessions = http::operatorSessions() });
-  mContext.permits.onPeersChanged(
-    [this](std::size_t aGateways) { mContext.pool.setGateways(aGateways); });
+  mContext.permits.onPeersChanged([this](std::size_t aGateways) {
+    mContext.pool.setGateways(aGateways);
+    if (!mFollower.hasLink()) {
+      mSuspicionExchange.peersRead();
+    }
+  });
   mContext.permits.start();
   log(LogLevel::Info,
       "started",
--- a/gateway/src/group_follower.cpp
+++ b/gateway/src/group_follower.cpp
@@ -443,6 +443,16 @@
   }
 }
 
+bool
+GroupFollower::hasLink() const
+{
+  return std::ranges::any_of(mServices, [](const auto& aService) {
+    return std::ranges::any_of(
+      aService.second.follows,
+      [](const FollowPtr& aFollow) { return aFollow->link != nullptr; });
+  });
+}
+
 void
 GroupFollower::shareSuspicions(
   const std::vector<policy::SuspicionRecord>& aChanges)
--- a/gateway/src/peer_list.cpp
+++ b/gateway/src/peer_list.cpp
@@ -52,6 +52,16 @@
                                   mOptions.maxBackoff);
 }
 
+std::vector<Peer>
+PeerList::others() const
+{
+  std::vector<Peer> others = mPeers;
+  std::erase_if(others, [this](const Peer& aPeer) {
+    return aPeer.instance == mOwnInstance;
+  });
+  return others;
+}
+
 std::vector<Peer>
 PeerList::gonePeers() const
 {
--- a/gateway/src/permit_exchange.cpp
+++ b/gateway/src/permit_exchange.cpp
@@ -102,6 +102,17 @@
 PermitExchange::answer(http::Session& aSession, http::Request aRequest)
 {
   http::Response response{ bhttp::status::ok, 11 };
+  const auto handler = mMessageHandlers.find(std::string(aRequest.target()));
+  if (handler != mMessageHandlers.end()) {
+    if (aRequest[bhttp::field::authorization] ==
+        proofOf(mSettings.controlKey, aRequest.body())) {
+      response.body() = handler->second(aRequest.body());
+    } else {
+      response.result(bhttp::status::not_found);
+    }
+    co_await aSession.write(std::move(response));
+    co_return;
+  }
   json::error_code error;
   const json::value body = json::parse(aRequest.body(), error);
   contract::FieldReader reader(error ? json::value() : body, "permit");
@@ -131,20 +142,37 @@
   co_await aSession.write(std::move(response));
 }
 
-asio::awaitable<std::optional<PermitExchange::Reply>>
-PermitExchange::ask(Peer aPeer, std::string aBody)
+asio::awaitable<Result<http::Response>>
+PermitExchange::send(Peer aPeer, std::string aPath, std::string aBody)
 {
   auto& pool = mPools[aPeer.address];
   if (!pool) {
     pool = std::make_unique<http::ClientPool>(mLoop, aPeer.address);
   }
-  http::Request request{ bhttp::verb::post, kPermitPath, 11 };
+  http::Request request{ bhttp::verb::post, aPath, 11 };
   request.set(bhttp::field::host, aPeer.address.text());
   request.set(bhttp::field::authorization,
               proofOf(mSettings.controlKey, aBody));
   request.body() = std::move(aBody);
+  co_return co_await pool->request(std::move(request), kPermitTimeout);
+}
+
+asio::awaitable<std::optional<std::string>>
+PermitExchange::message(Peer aPeer, std::string aPath, std::string aBody)
+{
+  auto response =
+    co_await send(std::move(aPeer), std::move(aPath), std::move(aBody));
+  if (!response || response->result_int() != 200) {
+    co_return std::nullopt;
+  }
+  co_return std::move(response->body());
+}
+
+asio::awaitable<std::optional<PermitExchange::Reply>>
+PermitExchange::ask(Peer aPeer, std::string aBody)
+{
   const auto response =
-    co_await pool->request(std::move(request), kPermitTimeout);
+    co_await send(aPeer, std::string(kPermitPath), std::move(aBody));
   json::error_code error;
   const json::value body = response && response->result_int() == 200
                              ? json::parse(response->body(), error)
