Streams: an encoded stream is no response of the server

Cause: the field was looked at when a buffered response was complete, and events are passed on before that. Ruled out: plain responses (refused already).

Change: such a head makes the response invalid.

--- a/gateway/src/request_forwarder.cpp
+++ b/gateway/src/request_forwarder.cpp
@@ -94,6 +94,11 @@
                   "response does not match the request");
     return;
   }
+  if (mIsEventStream && mResponse.count(bhttp::field::content_encoding) > 0) {
+    // Clients ask for no encoding: these are not the server's events.
+    finishAttempt(AttemptOutcome::InvalidResponse, "stream is encoded");
+    return;
+  }
   if (mResponse[mContext.names.serverLeaving] == "1") {
     mContext.servers.markLeaving(mServerId, mServerStartedMs);
     mContext.pool.closeIdle(mServerId);
--- a/gateway/tests/unit_streams.cpp
+++ b/gateway/tests/unit_streams.cpp
@@ -198,3 +198,34 @@
   CHECK_FALSE(isComplete(received));
   CHECK(fixture.servers[1]->requests.empty());
 }
+
+// Guards against MIXED: a stream whose head names an encoding was passed on as
+// a success.
+TEST_CASE("gateway_streamIsEncoded_isNotPassedOn")
+{
+  const std::string encoding = GENERATE("gzip", "identity", "");
+  CAPTURE(encoding);
+  const std::string events = chunk(event(0) + event(1)) + "0\r\n\r\n";
+  const std::string encoded = "HTTP/1.1 200 OK\r\nLaburnum-Attempt: $ID\r\n" +
+                              kSignatureField +
+                              "Content-Encoding: " + encoding +
+                              "\r\nContent-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n" +
+                              events;
+  const std::string sound = kEventStreamHead + events;
+  GatewayFixture alone({ { encoded } }, 1);
+  CHECK(statusOf(alone.request("POST", "/events/x", "", "prompt")) == 502);
+
+  GatewayFixture two({ { encoded }, { sound } });
+  const std::string received = two.request("POST", "/events/x", "", "prompt");
+  CHECK(eventsOf(received) == event(0) + event(1));
+  CHECK(isComplete(received));
+  CHECK(received.find("Content-Encoding") == std::string::npos);
+
+  // The rest of a stream that another server has begun.
+  GatewayFixture begun(
+    { { kEventStreamHead + chunk(event(0)) + "$RESET" }, { encoded } });
+  const std::string cut = begun.request("POST", "/events/x", "", "prompt");
+  CHECK(eventsOf(cut) == event(0));
+  CHECK_FALSE(isComplete(cut));
+}
