--- a/gateway/src/crash_detector.cpp
+++ b/gateway/src/crash_detector.cpp
@@ -194,8 +194,9 @@
 {
   mRemovedAt.erase(aServerId);
   std::map<std::string, Crashes> ended;
-  for (auto& [server, losses] : mLosses) {
-    Crashes crashes = take(losses, [&](const Loss& aLoss) {
+  for (auto& entry : mLosses) {
+    const std::string& server = entry.first;
+    Crashes crashes = take(entry.second, [&](const Loss& aLoss) {
       return (aLoss.address == aAddress || server == aServerId) &&
              aLoss.process != aProcess && aNow - aLoss.at <= kEndedRetention;
     });
