Object API: names of objects are encoded in the targets of calls

Callers saw: nothing known. An operator's `laburnumctl contract get a?b`, or an entry or agent that writes an object, would have named another object; a name with a line end would have begun a second request.

Ruled out: lists of this API have no pages, and deletions are tombstones, so an item that cannot be read takes nothing out of force.

Change: ObjectClient builds its targets with http::Target. A name that no target can have is an error that names the object, without a call. The stand-in decodes targets.

Test: "ObjectClient, object with an odd name, is the only one that is named", 15 names.

--- a/coordination/src/object_client.cpp
+++ b/coordination/src/object_client.cpp
@@ -1,6 +1,7 @@
 #include "laburnum/coordination/object_client.hpp"
 
 #include "laburnum/contract/reply_parser.hpp"
+#include "laburnum/http/target.hpp"
 #include "laburnum/kernel/log.hpp"
 
 #include <boost/json/parse.hpp>
@@ -20,10 +21,31 @@
   return { .error = Error::PlatformUnavailable, .detail = std::move(aDetail) };
 }
 
+http::Target
+kindTarget(std::string_view aKind)
+{
+  return http::Target("/v1/objects").segment(aKind);
+}
+
+http::Target
+objectTarget(std::string_view aKind, std::string_view aName)
+{
+  return kindTarget(aKind).segment(aName);
+}
+
 std::string
-objectPath(std::string_view aKind, std::string_view aName)
+objectText(std::string_view aKind, std::string_view aName)
 {
-  return std::string("/v1/objects/").append(aKind).append("/").append(aName);
+  return std::string(aKind).append("/").append(aName);
+}
+
+Failure
+invalidName(std::string_view aKind, std::string_view aName)
+{
+  return { .error = Error::InvalidObject,
+           .detail = "found object \"" + objectText(aKind, aName) +
+                     "\", expected a kind and a name that are neither empty "
+                     "nor made of one or two dots" };
 }
 
 Result<json::value>
@@ -140,14 +162,18 @@
 asio::awaitable<Result<contract::Object>>
 ObjectClient::read(std::string_view aKind, std::string_view aName)
 {
-  http::Request request{ bhttp::verb::get, objectPath(aKind, aName), 11 };
+  const auto target = objectTarget(aKind, aName).text();
+  if (!target) {
+    co_return invalidName(aKind, aName);
+  }
+  http::Request request{ bhttp::verb::get, *target, 11 };
   const auto response = co_await call(std::move(request), kCallTimeout);
   if (!response) {
     co_return response.failure();
   }
   if (response->result() == bhttp::status::not_found) {
     co_return Failure{ .error = Error::ObjectNotFound,
-                       .detail = objectPath(aKind, aName) };
+                       .detail = objectText(aKind, aName) };
   }
   const auto body = parseBody(*response);
   if (!body) {
@@ -159,10 +185,12 @@
 asio::awaitable<Result<ObjectList>>
 ObjectClient::list(std::string_view aKind)
 {
-  http::Request request{ bhttp::verb::get, "/v1/objects", 11 };
-  if (!aKind.empty()) {
-    request.target(std::string("/v1/objects/").append(aKind));
+  const auto target =
+    (aKind.empty() ? http::Target("/v1/objects") : kindTarget(aKind)).text();
+  if (!target) {
+    co_return invalidName(aKind, "");
   }
+  http::Request request{ bhttp::verb::get, *target, 11 };
   const auto response = co_await call(std::move(request), kCallTimeout);
   if (!response) {
     co_return response.failure();
@@ -211,9 +239,11 @@
 asio::awaitable<WriteOutcome>
 ObjectClient::write(contract::Object aObject, std::uint64_t aExpectedVersion)
 {
-  http::Request request{ bhttp::verb::put,
-                         objectPath(aObject.kind, aObject.name),
-                         11 };
+  const auto target = objectTarget(aObject.kind, aObject.name).text();
+  if (!target) {
+    co_return OutcomeUnknown{ invalidName(aObject.kind, aObject.name) };
+  }
+  http::Request request{ bhttp::verb::put, *target, 11 };
   if (aObject.deleted) {
     request.method(bhttp::verb::delete_);
   }
--- a/coordination/tests/unit_object_client.cpp
+++ b/coordination/tests/unit_object_client.cpp
@@ -1,5 +1,6 @@
 #include "laburnum/coordination/object_client.hpp"
 #include "laburnum/http/server.hpp"
+#include "laburnum/standins/servers.hpp"
 
 #include <catch2/catch.hpp>
 #include <optional>
@@ -11,6 +12,23 @@
 
 namespace bhttp = boost::beast::http;
 
+/// Runs the event loop until the call has completed.
+template<class Outcome>
+Outcome
+runOn(Loop& aLoop, asio::awaitable<Outcome> aCall)
+{
+  std::optional<Outcome> outcome;
+  aLoop.spawn([](Loop& aLoop,
+                 asio::awaitable<Outcome> aOne,
+                 std::optional<Outcome>& aOutcome) -> asio::awaitable<void> {
+    aOutcome.emplace(co_await std::move(aOne));
+    aLoop.stop();
+  }(aLoop, std::move(aCall), outcome));
+  aLoop.context().restart();
+  aLoop.run();
+  return std::move(*outcome);
+}
+
 /// A platform that sends the same reply to every call; with status 0 it closes
 /// the connection instead.
 struct PlatformFixture
@@ -40,20 +58,10 @@
     co_await aSession.write(std::move(response));
   }
 
-  /// Runs the event loop until the call has completed.
   template<class Outcome>
   Outcome runToCompletion(asio::awaitable<Outcome> aCall)
   {
-    std::optional<Outcome> outcome;
-    loop.spawn([](Loop& aLoop,
-                  asio::awaitable<Outcome> aOne,
-                  std::optional<Outcome>& aOutcome) -> asio::awaitable<void> {
-      aOutcome.emplace(co_await std::move(aOne));
-      aLoop.stop();
-    }(loop, std::move(aCall), outcome));
-    loop.context().restart();
-    loop.run();
-    return std::move(*outcome);
+    return runOn(loop, std::move(aCall));
   }
 };
 
@@ -195,3 +203,39 @@
   REQUIRE(list);
   CHECK(list->objects.size() == 2);
 }
+
+TEST_CASE(
+  "ObjectClient, object with an odd name, is the only one that is named")
+{
+  const std::vector<std::string> names{
+    "a/b",      "a?b",    "a#b",
+    "a%41",     "a b",    "a+b",
+    "a&b=c",    "a\r\nb", ".",
+    "..",       "",       "a HTTP/1.1\r\n\r\nDELETE /v1/objects/k/a",
+    "\xC3\xA9", "../k/a", std::string(9000, 'a')
+  };
+  for (const std::string& name : names) {
+    CAPTURE(name.substr(0, 100));
+    Loop loop;
+    standins::PlatformServer platform(loop, {});
+    ObjectClient client(loop, { platform.address() });
+    const contract::Object sound{ .kind = "k", .name = "a", .value = "{}" };
+    const auto first = runOn(loop, client.write(sound, 0));
+    REQUIRE(std::holds_alternative<Written>(first));
+    const bool canBeNamed = !name.empty() && name != "." && name != "..";
+    const contract::Object odd{ .kind = "k", .name = name, .value = "{}" };
+    const auto outcome = runOn(loop, client.write(odd, 0));
+    const auto* written = std::get_if<Written>(&outcome);
+    CHECK((written != nullptr) == canBeNamed);
+    const auto read = runOn(loop, client.read("k", name));
+    CHECK((read && read->name == name) == canBeNamed);
+    if (written != nullptr) {
+      runOn(loop, client.remove("k", name, written->version));
+    } else {
+      runOn(loop, client.remove("k", name, 1));
+    }
+    CHECK(platform.core().read("k", name) == nullptr);
+    CHECK(platform.core().read("k", "a") != nullptr);
+    CHECK(platform.core().ofKind("k").size() == 1);
+  }
+}
--- a/standins/include/laburnum/standins/servers.hpp
+++ b/standins/include/laburnum/standins/servers.hpp
@@ -6,6 +6,7 @@
 #include "laburnum/standins/engine_core.hpp"
 #include "laburnum/standins/platform_core.hpp"
 #include "laburnum/standins/rank_group.hpp"
+#include "laburnum/standins/request_target.hpp"
 
 #include <map>
 #include <memory>
@@ -31,7 +32,7 @@
                        std::string aKind,
                        std::string aName,
                        bool& aLose);
-  asio::awaitable<http::Response> watch(std::string_view aQuery);
+  asio::awaitable<http::Response> watch(const RequestTarget& aTarget);
   http::Response control(const http::Request& aRequest);
 
   Loop& mLoop;
--- a/standins/src/platform_server.cpp
+++ b/standins/src/platform_server.cpp
@@ -34,25 +34,10 @@
 }
 
 std::uint64_t
-queryNumber(std::string_view aQuery, std::string_view aName)
+number(const RequestTarget& aTarget, const std::string& aName)
 {
-  const std::size_t at = aQuery.find(std::string(aName) + "=");
-  return at == std::string_view::npos
-           ? 0
-           : std::stoull(std::string(aQuery.substr(at + aName.size() + 1)));
-}
-
-std::vector<std::string>
-segmentsOf(std::string_view aPath)
-{
-  std::vector<std::string> all;
-  while (!aPath.empty()) {
-    aPath.remove_prefix(1);
-    const std::size_t end = std::min(aPath.find('/'), aPath.size());
-    all.emplace_back(aPath.substr(0, end));
-    aPath.remove_prefix(end);
-  }
-  return all;
+  const std::string text = aTarget.parameter(aName);
+  return text.empty() ? 0 : std::stoull(text);
 }
 
 } // namespace
@@ -100,10 +85,10 @@
   if (!mCore.admit(isWrite, mLoop.now())) {
     co_return reply(429, json::object{ { "error", "rate" } });
   }
-  const std::size_t mark = std::min(target.find('?'), target.size());
-  const auto path = segmentsOf(std::string_view(target).substr(0, mark));
+  const RequestTarget parsed = parseTarget(target);
+  const auto& path = parsed.segments;
   if (path.size() == 2 && path[1] == "watch") {
-    co_return co_await watch(std::string_view(target).substr(mark));
+    co_return co_await watch(parsed);
   }
   if (path.size() == 2 && path[1] == "instances") {
     json::array items;
@@ -168,12 +153,11 @@
 }
 
 asio::awaitable<http::Response>
-PlatformServer::watch(std::string_view aQuery)
+PlatformServer::watch(const RequestTarget& aTarget)
 {
   ++mCore.counts.watches;
-  const std::uint64_t after = queryNumber(aQuery, "after");
-  const Instant end =
-    mLoop.now() + milliseconds(queryNumber(aQuery, "timeout_ms"));
+  const std::uint64_t after = number(aTarget, "after");
+  const Instant end = mLoop.now() + milliseconds(number(aTarget, "timeout_ms"));
   auto objects = mCore.newerThan(after);
   while (objects.empty() && mLoop.now() < end) {
     boost::system::error_code ignored;
