Store: an entry that cannot be read hides neither the others nor its own name

An entry with more than 250000 values or separators, even commas in a string, made the whole reply unreadable: the list of servers failed, after a restart for as long as the entry stood. An entry nested 31 deep could be read alone but not within the reply, with the same effect. In a watch, the removal of a server whose last entry cannot be read was lost, and a server whose entry became unreadable stayed in use.

Cause: contract::parseReply judged the reply as a whole, and replaced an element that it could not read by null: name and `deleted` were lost with the value.

Change: a reply that cannot be parsed whole is split into the elements of its arrays. Each is parsed by itself; of one that cannot be read, the members that can be read stay, and what is known of the name. If all elements together have too many values, the largest count as unreadable, so that sound ones stay. Replies whose brackets do not match are refused, since elements may hide there.

A sound reply is parsed as before.

--- a/contract/tests/unit_contract.cpp
+++ b/contract/tests/unit_contract.cpp
@@ -1,7 +1,9 @@
 #include "laburnum/contract/contract.hpp"
 #include "laburnum/contract/object_store.hpp"
+#include "laburnum/contract/reply_parser.hpp"
 #include "laburnum/contract/settings.hpp"
 
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 using namespace laburnum;
@@ -262,3 +264,103 @@
     CHECK(document.failure().detail.starts_with(row.line));
   }
 }
+
+TEST_CASE("parseReply, element that cannot be read, keeps its name")
+{
+  const auto repeated = [](std::string_view aText, std::size_t aTimes) {
+    std::string text;
+    for (std::size_t i = 0; i < aTimes; ++i) {
+      text += (i == 0 ? "" : ",") + std::string(aText);
+    }
+    return text;
+  };
+  const auto nested = [](std::size_t aDepth) {
+    return std::string(aDepth, '[') + std::string(aDepth, ']');
+  };
+  struct Row
+  {
+    std::string value; ///< Of a member of the element.
+    bool isRead;
+  };
+  const Row rows[]{
+    { "1", true },
+    { nested(28), true },
+    { nested(32), true },
+    { nested(33), false },
+    { nested(5000), false },
+    { "1e99999999999", false },
+    { "\"\xff ]},{ \\\" \"", false },
+    { "\"\\ud800\"", false },
+    { "nul", false },
+    { "\"" + std::string(kMaxReplyValues * 2, ',') + "\"", true },
+    { "\"" + std::string(kMaxReplyValues * 2, '[') + "\"", true },
+    { "[" + repeated("0", kMaxReplyValues * 2) + "]", false },
+    { "[" + repeated("{}", kMaxReplyValues) + "]", false },
+    { "{" + repeated(R"("a":[])", kMaxReplyValues) + "}", false },
+    { "[" + repeated("0", kMaxReplyValues / 2 - 1000) + "]", true },
+  };
+  const std::vector<std::string_view> naming{ "object", "metadata" };
+  for (const Row& row : rows) {
+    CAPTURE(row.value.substr(0, 40), row.value.size());
+    const std::string odd = R"({"spec":)" + row.value + R"(,"metadata":{"x":)" +
+                            row.value + R"(,"name":"odd"}})";
+    for (const std::string& element :
+         { odd, R"({"object":)" + odd + R"(,"deleted":true})" }) {
+      const bool isEvent = element != odd;
+      const auto reply = parseReply(R"({"list":[{"n":1},)" + element +
+                                      R"( ,null,{"n":2}],"at":[9]})",
+                                    naming);
+      REQUIRE(reply);
+      CHECK(reply->at("at").as_array().at(0) == 9);
+      const auto& list = reply->at("list").as_array();
+      REQUIRE(list.size() == 4);
+      CHECK(list[0].at("n") == 1);
+      CHECK(list[2].is_null());
+      CHECK(list[3].at("n") == 2);
+      const json::value& object = isEvent ? list[1].at("object") : list[1];
+      CHECK(object.at("metadata").at("name") == "odd");
+      CHECK((!isEvent || list[1].at("deleted") == true));
+      CHECK(!object.at("spec").is_null() == row.isRead);
+    }
+  }
+}
+
+TEST_CASE("parseReply, elements of too many values together, keeps the smaller")
+{
+  std::string large = "[0";
+  for (std::size_t i = 0; i < kMaxReplyValues / 20; ++i) {
+    large += ",0";
+  }
+  std::string list;
+  for (int i = 0; i < 60; ++i) {
+    list += R"({"name":1,"value":)" + large + "]},";
+  }
+  const auto reply = parseReply(R"({"list":[)" + list + R"({"value":[1,2]}]})");
+  REQUIRE(reply);
+  const auto& elements = reply->at("list").as_array();
+  REQUIRE(elements.size() == 61);
+  CHECK(elements[60].at("value").as_array().size() == 2);
+  CHECK(elements[0].at("name") == 1);
+  CHECK(elements[0].at("value").is_null());
+}
+
+TEST_CASE("parseReply, text that is no object, cannot be read")
+{
+  for (const char* text : { "",
+                            " ",
+                            "{",
+                            "[]",
+                            "[{}]",
+                            "{}}",
+                            "{\"a\":1",
+                            "1",
+                            R"({"a":[{"b":[}},{"c":1}]})",
+                            R"({"a":["b]})",
+                            R"({"a":[1e99999999999],"b":1e99999999999})",
+                            "{]" }) {
+    CAPTURE(text);
+    CHECK_FALSE(parseReply(text));
+  }
+  CHECK(parseReply(" {} "));
+  CHECK(parseReply(R"({"a":[]})"));
+}
