Store: a page with an escaped value of the largest size is read

Callers saw nothing so far; a test shows almost no request served after a restart while an entry of a megabyte of control characters or other letters stands in a list. A store may send each byte as an escape of six characters, so a page of a megabyte and one more entry is longer than the 4 MiB that were kept of a reply: the page failed at each try.

The body is reserved by its Content-Length, so that it is not copied while it grows.

--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -30,6 +30,10 @@
   /// The response's header. Pre: `send` succeeded.
   const beast::http::response_header<>& head() const;
 
+  /// The length of the body as the header states it, or 0.
+  /// Pre: `send` succeeded.
+  std::uint64_t contentLength() const;
+
   /// Reads some of the body; an empty text is its end.
   /// Pre: `send` succeeded.
   asio::awaitable<Result<std::string>> readSome(Duration aTimeout);
@@ -52,7 +56,10 @@
 class ClientPool
 {
 public:
-  ClientPool(Loop& aLoop, contract::Address aAddress);
+  /// `aMaxReplyBytes`: limit of a response that is read whole.
+  ClientPool(Loop& aLoop,
+             contract::Address aAddress,
+             std::size_t aMaxReplyBytes = kMaxReplyBytes);
 
   /// Connects, or takes an idle connection that is still open. aFresh forces
   /// a new connection, as work that must not be repeated needs. Pre: none.
@@ -61,7 +68,7 @@
 
   /// Sends a request and reads the whole response. The timeout covers both, so
   /// that a peer that sends slowly and without end is given up. A response
-  /// above `kMaxReplyBytes` fails with `Error::BodyTooLarge`. Pre: none.
+  /// above the limit fails with `Error::BodyTooLarge`. Pre: none.
   asio::awaitable<Result<Response>> request(Request aRequest,
                                             Duration aTimeout);
 
@@ -76,6 +83,7 @@
 
   Loop& mLoop;
   contract::Address mAddress;
+  std::size_t mMaxReplyBytes;
   std::vector<TcpStream> mIdle;
   /// Exchanges in progress; shared, as these may outlive the pool.
   std::shared_ptr<std::set<Exchange*>> mExchanges =
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -99,6 +99,12 @@
   return mParser->get().base();
 }
 
+std::uint64_t
+Exchange::contentLength() const
+{
+  return mParser->content_length().value_or(0);
+}
+
 asio::awaitable<Result<std::string>>
 Exchange::readSome(Duration aTimeout)
 {
@@ -131,9 +137,12 @@
   mStream.close();
 }
 
-ClientPool::ClientPool(Loop& aLoop, contract::Address aAddress)
+ClientPool::ClientPool(Loop& aLoop,
+                       contract::Address aAddress,
+                       std::size_t aMaxReplyBytes)
   : mLoop(aLoop)
   , mAddress(std::move(aAddress))
+  , mMaxReplyBytes(aMaxReplyBytes)
 {
 }
 
@@ -179,6 +188,8 @@
   }
   Response response;
   response.base() = (*exchange)->head();
+  const auto length = (*exchange)->contentLength();
+  response.body().reserve(std::min<std::uint64_t>(length, mMaxReplyBytes));
   for (;;) {
     const auto part = co_await (*exchange)->readSome(remaining());
     if (!part) {
@@ -187,7 +198,7 @@
     if (part->empty()) {
       break;
     }
-    if (response.body().size() + part->size() > kMaxReplyBytes) {
+    if (response.body().size() + part->size() > mMaxReplyBytes) {
       (*exchange)->abort();
       co_return Failure{ .error = Error::BodyTooLarge,
                          .verdict = Verdict::MayHaveRun,
