--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -68,9 +68,13 @@
 
   /// Sends a request and reads the whole response. The timeout covers both, so
   /// that a peer that sends slowly and without end is given up. A response
-  /// above the limit fails with `Error::BodyTooLarge`. Pre: none.
-  asio::awaitable<Result<Response>> request(Request aRequest,
-                                            Duration aTimeout);
+  /// above the limit fails with `Error::BodyTooLarge`. A large body on a slow
+  /// link may take aBodyTimeout from its header if that is longer, but no part
+  /// of it longer than aTimeout. Pre: none.
+  asio::awaitable<Result<Response>> request(
+    Request aRequest,
+    Duration aTimeout,
+    Duration aBodyTimeout = Duration(0));
 
   /// Aborts all exchanges in progress; their calls fail.
   void abortAll();
--- a/http/src/client.cpp
+++ b/http/src/client.cpp
@@ -170,9 +170,9 @@
 }
 
 asio::awaitable<Result<Response>>
-ClientPool::request(Request aRequest, Duration aTimeout)
+ClientPool::request(Request aRequest, Duration aTimeout, Duration aBodyTimeout)
 {
-  const Instant deadline = mLoop.now() + aTimeout;
+  Instant deadline = mLoop.now() + aTimeout;
   auto exchange = co_await open(aTimeout);
   if (!exchange) {
     co_return exchange.failure();
@@ -190,8 +190,10 @@
   response.base() = (*exchange)->head();
   const auto length = (*exchange)->contentLength();
   response.body().reserve(std::min<std::uint64_t>(length, mMaxReplyBytes));
+  deadline = std::max(deadline, mLoop.now() + aBodyTimeout);
   for (;;) {
-    const auto part = co_await (*exchange)->readSome(remaining());
+    const auto part =
+      co_await (*exchange)->readSome(std::min(remaining(), aTimeout));
     if (!part) {
       co_return part.failure();
     }
--- a/http/tests/unit_broken_answers.cpp
+++ b/http/tests/unit_broken_answers.cpp
@@ -24,6 +24,15 @@
   std::string answer;
   std::size_t bytesRead = 1; ///< Of the request, before the answer.
   bool isReset = false;      ///< In place of a close in order.
+  std::size_t pieces = 1;    ///< In which the answer is sent.
+  Duration pause{ 0 };       ///< Before each piece.
+};
+
+/// How long a client waits for a response.
+struct Timeouts
+{
+  Duration response = seconds(5);
+  Duration body{ 0 };
 };
 
 asio::awaitable<void>
@@ -33,8 +42,16 @@
   auto socket = co_await aAcceptor.async_accept(use_awaitable);
   std::string received(aOptions.bytesRead, ' ');
   co_await asio::async_read(socket, asio::buffer(received), use_awaitable);
-  co_await asio::async_write(
-    socket, asio::buffer(aOptions.answer), use_awaitable);
+  const std::size_t size = aOptions.answer.size() / aOptions.pieces + 1;
+  asio::steady_timer timer(socket.get_executor());
+  for (std::size_t at = 0; at < aOptions.answer.size(); at += size) {
+    timer.expires_after(aOptions.pause);
+    co_await timer.async_wait(use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_write(socket,
+                               asio::buffer(aOptions.answer.substr(at, size)),
+                               redirect_error(use_awaitable, error));
+  }
   if (aOptions.isReset) {
     co_await asio::steady_timer(socket.get_executor(), milliseconds(20))
       .async_wait(use_awaitable);
@@ -52,7 +69,9 @@
 
 /// The result of a request with a body, sent to such a server.
 Result<Response>
-receive(ServerOptions aOptions, std::size_t aBodyBytes = 0)
+receive(ServerOptions aOptions,
+        std::size_t aBodyBytes = 0,
+        Timeouts aTimeouts = {})
 {
   Loop loop;
   asio::basic_socket_acceptor<tcp, Executor> acceptor(
@@ -64,12 +83,14 @@
     [](Loop& aLoop,
        ClientPool& aPool,
        std::size_t aBytes,
+       Timeouts aTimeouts,
        std::optional<Result<Response>>& aResult) -> asio::awaitable<void> {
       Request request{ beast::http::verb::post, "/", 11 };
       request.body().assign(aBytes, 'u');
-      aResult = co_await aPool.request(std::move(request), seconds(5));
+      aResult = co_await aPool.request(
+        std::move(request), aTimeouts.response, aTimeouts.body);
       aLoop.stop();
-    }(loop, pool, aBodyBytes, result));
+    }(loop, pool, aBodyBytes, aTimeouts, result));
   loop.run();
   return std::move(*result);
 }
@@ -97,6 +118,27 @@
   CHECK(whole->body() == body);
 }
 
+TEST_CASE("ClientPool, body slower than the response, has a time of its own")
+{
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + std::string(400, 'x');
+  const ServerOptions slow{ .answer = answer,
+                            .pieces = 8,
+                            .pause = milliseconds(300) };
+  const Duration timeout = milliseconds(1200);
+  CHECK_FALSE(receive(slow, 0, { .response = timeout }));
+  const auto whole =
+    receive(slow, 0, { .response = timeout, .body = seconds(30) });
+  REQUIRE(whole);
+  CHECK(whole->body().size() == 400);
+  // A pause longer than the time of the response ends it.
+  const ServerOptions silent{ .answer = answer,
+                              .pieces = 2,
+                              .pause = milliseconds(3000) };
+  CHECK_FALSE(
+    receive(silent, 0, { .response = seconds(2), .body = seconds(30) }));
+}
+
 // Guards against MIXED: an answer with a line that is no header field was taken
 // for one.
 TEST_CASE("ClientPool, answer with a malformed field, is a failure")
