Addresses: a host with other bytes behind the address is refused

Callers saw nothing known. The address of an entry goes into the Host field of calls to it. asio::ip::make_address reads a text up to a zero byte, and takes any text for the zone of an IPv6 address, so an entry of a gateway with such an address could put a request of its own behind the head of a call, for example to the store.

Change: parseAddress refuses a host with bytes that no address and no name of a zone has.

--- a/contract/src/settings.cpp
+++ b/contract/src/settings.cpp
@@ -2,7 +2,9 @@
 
 #include "laburnum/contract/field_reader.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <cctype>
 #include <charconv>
 
 namespace laburnum::contract {
@@ -248,7 +250,15 @@
   }
   boost::system::error_code error;
   boost::asio::ip::make_address(host, error);
-  if (error) {
+  // What follows a zero byte or stands for the zone of an address is not
+  // checked there, and would be sent in a header.
+  constexpr std::string_view kZoneMarks = ":.%-_";
+  const bool isText =
+    std::all_of(host.begin(), host.end(), [&](char aCharacter) {
+      return std::isalnum(static_cast<unsigned char>(aCharacter)) != 0 ||
+             kZoneMarks.find(aCharacter) != std::string_view::npos;
+    });
+  if (error || !isText) {
     return fail("an IP address by number before the port");
   }
   const std::string_view digits = aText.substr(colon + 1);
--- a/contract/tests/unit_contract.cpp
+++ b/contract/tests/unit_contract.cpp
@@ -364,3 +364,20 @@
   CHECK(parseReply(" {} "));
   CHECK(parseReply(R"({"a":[]})"));
 }
+
+TEST_CASE("parseAddress, host with other bytes, is refused")
+{
+  for (const std::string& host : { std::string("127.0.0.1\0\r\nX-B: c", 18),
+                                   std::string("127.0.0.1\0", 10),
+                                   std::string("::1%\r\nX-B: c"),
+                                   std::string("[::1%1 ]"),
+                                   std::string("127.0.0.1\n") }) {
+    CAPTURE(host);
+    CHECK_FALSE(parseAddress(host + ":80"));
+  }
+  for (const char* host :
+       { "127.0.0.1", "[::1]", "fe80::1%lo", "[2001:DB8::]" }) {
+    CAPTURE(host);
+    CHECK(parseAddress(std::string(host) + ":80"));
+  }
+}
