--- a/contract/src/reply_parser.cpp
+++ b/contract/src/reply_parser.cpp
@@ -183,8 +183,8 @@
   return object;
 }
 
-/// The largest number of values with which the elements of at most as many have
-/// fewer than `kMaxReplyValues` values together.
+/// The limit of the values of an element: elements within it have fewer than
+/// `kMaxReplyValues` values together.
 std::size_t
 elementLimit(const std::vector<std::string_view>& aElements)
 {
