Targets: no name with a dot segment between slashes is sent

Callers saw nothing known. A server that decodes a target before it resolves dot segments would read a name such as "a/../../config/main", encoded or not, as another path.

Change: http::Target has no text for such a name, as for a dot segment alone; the call fails without being sent.

--- a/coordination/src/object_client.cpp
+++ b/coordination/src/object_client.cpp
@@ -44,8 +44,8 @@
 {
   return { .error = Error::InvalidObject,
            .detail = "found object \"" + objectText(aKind, aName) +
-                     "\", expected a kind and a name that are neither empty "
-                     "nor made of one or two dots" };
+                     "\", expected a kind and a name that are not empty "
+                     "and have no dot segments" };
 }
 
 Result<json::value>
--- a/http/include/laburnum/http/target.hpp
+++ b/http/include/laburnum/http/target.hpp
@@ -19,9 +19,9 @@
   {
   }
 
-  /// Appends a segment to the path. A server may resolve an empty segment and
-  /// one of one or two dots to another path, encoded or not; the target then
-  /// has no text.
+  /// Appends a segment to the path. A server may resolve an empty name, and one
+  /// that has one or two dots alone or between slashes, to another path,
+  /// encoded or not; the target then has no text.
   /// @pre No parameter has been appended.
   Target& segment(std::string_view aName);
 
--- a/http/src/target.cpp
+++ b/http/src/target.cpp
@@ -1,5 +1,7 @@
 #include "laburnum/http/target.hpp"
 
+#include <algorithm>
+
 namespace laburnum::http {
 namespace {
 
@@ -22,12 +24,29 @@
   }
 }
 
+/// True if a part of a name between slashes is a dot segment.
+bool
+hasDotSegment(std::string_view aName)
+{
+  for (;;) {
+    const std::size_t end = std::min(aName.find('/'), aName.size());
+    const std::string_view part = aName.substr(0, end);
+    if (part == "." || part == "..") {
+      return true;
+    }
+    if (end == aName.size()) {
+      return false;
+    }
+    aName.remove_prefix(end + 1);
+  }
+}
+
 } // namespace
 
 Target&
 Target::segment(std::string_view aName)
 {
-  mIsValid = mIsValid && !aName.empty() && aName != "." && aName != "..";
+  mIsValid = mIsValid && !aName.empty() && !hasDotSegment(aName);
   mText += '/';
   appendEncoded(mText, aName);
   return *this;
