--- a/http/include/laburnum/http/client.hpp
+++ b/http/include/laburnum/http/client.hpp
@@ -69,8 +69,8 @@
   /// Sends a request and reads the whole response. The timeout covers both, so
   /// that a peer that sends slowly and without end is given up. A response
   /// above the limit fails with `Error::BodyTooLarge`. A large body on a slow
-  /// link may take aBodyTimeout from its header if that is longer, but no part
-  /// of it longer than aTimeout. Pre: none.
+  /// link may take up to aBodyTimeout after its header if that is longer; each
+  /// read of a part still fails after aTimeout. Pre: none.
   asio::awaitable<Result<Response>> request(
     Request aRequest,
     Duration aTimeout,
--- a/http/include/laburnum/http/target.hpp
+++ b/http/include/laburnum/http/target.hpp
@@ -6,14 +6,14 @@
 
 namespace laburnum::http {
 
-/// Builds the target of a request from names that others have chosen, such as
-/// those of stored objects: each is encoded so that it stays one segment of the
-/// path or one value of the query (RFC 3986, section 2.1).
+/// Builds the target of a request from untrusted names, such as those of stored
+/// objects: each is percent-encoded, so that it stays one segment of the path
+/// or one value of the query (RFC 3986, section 2.1).
 /// Thread safety: one thread an object.
 class Target
 {
 public:
-  /// `aPath`: the begin of the path, sent as it is.
+  /// `aPath`: the start of the path, sent without encoding.
   explicit Target(std::string_view aPath)
     : mText(aPath)
   {
@@ -25,7 +25,7 @@
   /// @pre No parameter has been appended.
   Target& segment(std::string_view aName);
 
-  /// Appends a parameter to the query. `aName` is sent as it is.
+  /// Appends a parameter to the query. `aName` is sent without encoding.
   Target& parameter(std::string_view aName, std::string_view aValue);
 
   /// The target as it is sent, or nothing if a segment cannot be sent.
